While own calls outnumber the servers, share them over withheld servers too

Evidence: own calls per server and second at the front's balancer. While 12 to 36 calls were out to four servers, all of them lay on one: 25 on one server and none on the next, a second later 24 on that one and none on the first. Each in turn slowed to three times its time and stayed slow.

Cause: `_pace` and `_judge` withhold tokens, and the lists by own calls held only servers whose token was not withheld. With two or three of four servers withheld for slowness, "the fewest own calls" meant the one or two left, however many calls they had.

Ruled out: the withholding as such.

Now the fewest own calls are looked for among all ready servers that don't fail, withheld for slowness or not. The token list is one list again.

--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -11,7 +11,9 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterator
 from heapq import heappop, heappush
+from itertools import chain
 from random import Random
 
 from mulleinhitch.interface import (
@@ -90,7 +92,6 @@
         "ejections",
         "id",
         "kind",
-        "level",
         "linked",
         "outstanding",
         "shunned",
@@ -98,6 +99,7 @@
         "started_ms",
         "state",
         "strikes",
+        "token",
         "until_ms",
         "used_ms",
         "zone",
@@ -110,7 +112,7 @@
         self.state = entry.state
         self.started_ms = entry.started_ms
         self.outstanding = 0  # own calls only
-        self.level = -1  # the list it is drawn from; -1: none, its token is spent or withheld
+        self.token = False  # on the token list; else its token is spent or withheld
         self.until_ms = 0.0  # its token is withheld until then, on evidence of being busy or unwell
         self.strikes = 0  # failed attempts in a row
         self.ejections = 0  # since its last success
@@ -128,13 +130,10 @@
 class Fleet:
     """The list as discovery told it, with the ready servers and the token holders of each zone."""
 
-    MAX_LEVEL = 64  # servers with more own calls than this are not told apart
-
     def __init__(self, settings: Settings) -> None:
         self.servers: dict[int, Server] = {}
         self.ready = [DrawList() for _ in range(settings.zones)]
-        # By own calls outstanding; the first entry is the token list, the others serve the raised level.
-        self.levels = [[DrawList() for _ in range(settings.zones)]]
+        self.tokens = [DrawList() for _ in range(settings.zones)]
         self.ready_count = 0
         self.ejected = 0
         self._withheld: list[tuple[float, int, Server]] = []  # heap of tokens to give back
@@ -186,15 +185,18 @@
             lists.append(DrawList())
         return lists[server.zone]
 
+    def all_ready(self, zone: int | None) -> Iterator[Server]:
+        """The ready servers of one zone, or of all."""
+        return chain.from_iterable(
+            part.items for part in (self.ready if zone is None else [self.ready[zone]])
+        )
+
     def earn_token(self, server: Server, now_ms: float) -> None:
-        """List the server by its own calls outstanding, at none as a token holder, unless withheld."""
+        """List the server as a token holder, if none of this copy's calls is out there, unless withheld."""
         self.spend_token(server)
-        if server.until_ms <= now_ms and server.state is ServerState.READY:
-            level = min(server.outstanding, self.MAX_LEVEL)
-            while level >= len(self.levels):
-                self.levels.append([DrawList() for _ in self.ready])
-            server.level = level
-            self._zone(self.levels[level], server).add(server)
+        if not server.outstanding and server.until_ms <= now_ms and server.state is ServerState.READY:
+            server.token = True
+            self._zone(self.tokens, server).add(server)
 
     def withhold(self, server: Server, until_ms: float) -> None:
         """Keep the token back until a time; `give_back` returns it."""
@@ -222,9 +224,9 @@
             self.earn_token(server, now_ms)
 
     def spend_token(self, server: Server) -> None:
-        if server.level >= 0:
-            self._zone(self.levels[server.level], server).discard(server)
-            server.level = -1
+        if server.token:
+            self._zone(self.tokens, server).discard(server)
+            server.token = False
 
 
 def draw(lists: list[DrawList], rng: Random) -> Server | None:
@@ -696,38 +698,62 @@
                 kept = draw([self.links.items], self.rng)
                 if kept is None:
                     break
-                if (
-                    kept.level == 0
-                    and self.legality.may_send(request, kept, self.now)
-                    and self.slow_start.admits(kept, self.now)
-                ):
+                if kept.token and self._may_draw(request, kept):
                     return kept
-        # Exception, while this copy's own calls outnumber the servers, so that own counts tell of the load:
-        # those with the fewest.
-        crowded = self._out > self.fleet.ready_count
-        for lists in self.fleet.levels if crowded else self.fleet.levels[:1]:
-            server = self._draw_near(lists, request)
-            if server is not None:
-                return server
-        return self._draw_near(self.fleet.ready, request)
+        server = None
+        if self._out > self.fleet.ready_count:
+            # Exception, while own calls outnumber the servers, so that own counts tell of the load:
+            # those with the fewest.
+            server = self._draw_fewest(request)
+        return (
+            server
+            or self._draw_near(self.fleet.tokens, request)
+            or self._draw_near(self.fleet.ready, request)
+        )
+
+    def _draw_fewest(self, request: Request) -> Server | None:
+        """Uniform over the servers with the fewest own calls of those that may be sent to and don't fail.
+
+        A token withheld for slowness does not leave a server out: guards against all calls piling on the few
+        that hold theirs, until these slow down in turn and the load moves on to the next ones.
+        """
+        found: list[Server] = []
+        least = math.inf
+        for server in self.fleet.all_ready(self.settings.my_zone if self._stays_near(request) else None):
+            if server.outstanding > least or (server.strikes and server.until_ms > self.now):
+                continue
+            if not self._may_draw(request, server) or self._shuns(request, server):
+                continue
+            if server.outstanding < least:
+                found, least = [], server.outstanding
+            found.append(server)
+        return found[int(self.rng.random() * len(found))] if found else None
 
     def _draw_near(self, lists: list[DrawList], request: Request) -> Server | None:
-        home = self.settings.my_zone
-        if self.settings.price_cross_zone > 0.0 and request.probes < 2 and not request.roams:
-            server = self._draw_from([lists[home]], request)
+        if self._stays_near(request):
+            server = self._draw_from([lists[self.settings.my_zone]], request)
             if server is not None:
                 return server
         return self._draw_from(lists, request)
 
+    def _stays_near(self, request: Request) -> bool:
+        return self.settings.price_cross_zone > 0.0 and request.probes < 2 and not request.roams
+
+    def _may_draw(self, request: Request, server: Server) -> bool:
+        return self.legality.may_send(request, server, self.now) and self.slow_start.admits(server, self.now)
+
+    def _shuns(self, request: Request, server: Server) -> bool:
+        bad = server.shunned.get(request.class_index)
+        return bad is not None and bad[1] > self.now
+
     def _draw_from(self, lists: list[DrawList], request: Request) -> Server | None:
         shunned = None
         for _ in range(self.DRAWS):
             server = draw(lists, self.rng)
             if server is None:
                 break
-            if self.legality.may_send(request, server, self.now) and self.slow_start.admits(server, self.now):
-                bad = server.shunned.get(request.class_index)
-                if bad is None or bad[1] <= self.now:
+            if self._may_draw(request, server):
+                if not self._shuns(request, server):
                     return server
                 shunned = server
         return shunned
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -338,7 +338,7 @@
         server = bench.balancer.fleet.servers[bench.owed[number].tries[0].server]
         bench.end(number, 0, Outcome.REJECTED)
         assert bench.owed[number].over and len(bench.owed[number].tries) == 1
-        assert (server.strikes, server.outstanding, server.level) == (0, 0, 0)
+        assert (server.strikes, server.outstanding, server.token) == (0, 0, True)
     assert bench.balancer._fail_share <= 0.1 and not bench.balancer.requests
 
 
@@ -745,3 +745,17 @@
         bench.end(1, 0, Outcome.ERROR)
         counts[sends(bench.request()) == [withheld]] += 1
     assert 150 < counts[True] < 250
+
+
+def test_servers_withheld_for_slowness_share_the_load_while_own_calls_outnumber_the_servers() -> None:
+    # Guards against the pile-up: slow servers left out, all calls go to the rest, which get slow in turn.
+    bench = driver(replace(PLAIN, tier=1, tiers=2), servers=4)
+    for _ in range(200):  # servers 0 to 2 are known to be slow, and their tokens are withheld
+        (server,) = sends(bench.request(class_index=1))
+        bench.advance(5.0 if server == 3 else 20.0)
+        bench.end(bench.next_id, 0, Outcome.OK)
+    assert sum(s.until_ms > bench.now for s in bench.balancer.fleet.servers.values()) >= 2
+    for _ in range(40):
+        bench.request(class_index=1)
+    load = Counter(bench.owed[r].tries[0].server for r, _ in bench.open_tries())
+    assert max(load.values()) <= 2 * min(load.values()) and len(load) == 4
