Keep a server that mostly fails out: no reset by one success, no draw past its ejection

Evidence: one request followed by its id: sent to server 1 of four, 500 after 1.3 ms, unsafe, so failed. Its own balancer behind it sees no call, logs no fault and turns nobody away: the server errs by itself. What the module knew of it at each draw: ejected, with 200 to 1,000 ms to go, in half of the draws; never ejected for longer than a second; its failure counts back at nought again and again.

Causes, all in the module: - `_judge` cleared strikes, ejections and the class's failures on a single success, which one call in ten is. Likewise a repeat went to the server that had just refused the connection, three times in a row. An ejected server, one shunned for the class, and one that has failed this very request are passed over now as long as any other may be sent to.

Ruled out: the inner balancers (no refusal, no fault, no lost connection in their logs), and connections (no reset, no failed connect before 13 s).

--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -539,6 +539,7 @@
     RETRY_RATIO = 0.25  # further attempts earned by each request
     RETRY_CAP = 8.0
     UNSEEN_PRICE = 0.25  # a call that a server never looked at cost no work
+    LONGEST_MS = 30_000.0  # that any server goes without a try: it may be well again
     OUTLIER = 0.05  # the odds under which a run of failures is put down to the server
     TARGET = 0.5  # of the way from the latency at low load to the aim: what admission steers the latency for
     TOLERANCE = 3.0  # of the latency at low load: what admission lets queues and crowding add
@@ -709,6 +710,7 @@
             server
             or self._draw_near(self.fleet.tokens, request)
             or self._draw_near(self.fleet.ready, request)
+            or self._draw_any(request)
         )
 
     def _draw_fewest(self, request: Request) -> Server | None:
@@ -743,20 +745,26 @@
         return self.legality.may_send(request, server, self.now) and self.slow_start.admits(server, self.now)
 
     def _shuns(self, request: Request, server: Server) -> bool:
+        """Whether any other is drawn before it: it fails, or fails this class, or has failed this request."""
         bad = server.shunned.get(request.class_index)
-        return bad is not None and bad[1] > self.now
+        if server.ejected or (bad is not None and bad[1] > self.now):
+            return True
+        return any(a.server is server and a.outcome is not Outcome.OK for a in request.attempts)
 
     def _draw_from(self, lists: list[DrawList], request: Request) -> Server | None:
-        shunned = None
         for _ in range(self.DRAWS):
             server = draw(lists, self.rng)
             if server is None:
                 break
-            if self._may_draw(request, server):
-                if not self._shuns(request, server):
-                    return server
-                shunned = server
-        return shunned
+            if self._may_draw(request, server) and not self._shuns(request, server):
+                return server
+        return None
+
+    def _draw_any(self, request: Request) -> Server | None:
+        """Uniform over the servers that may be sent to; shunned ones only where there are no others."""
+        open_to = [s for s in self.fleet.all_ready(None) if self._may_draw(request, s)]
+        found = [s for s in open_to if not self._shuns(request, s)] or open_to
+        return found[int(self.rng.random() * len(found))] if found else None
 
     def _send(self, request: Request, server: Server) -> None:
         if not self.legality.may_send(request, server, self.now):
@@ -883,15 +891,19 @@
         self._fail_share += self.MEMORY / 2.0 * (failed - self._fail_share)
         at = request.class_index
         if not failed:
-            server.strikes = server.ejections = 0
-            server.shunned.pop(at, None)
+            # Halves the next span, no more: guards against the chance success of a server that mostly fails.
+            server.strikes = 0
+            server.ejections = max(0, server.ejections - 1)
+            times, until_ms = server.shunned.pop(at, (0, 0.0))
+            if times > 1:
+                server.shunned[at] = (times - 1, until_ms)
             return
         if outcome not in NEVER_RAN and outcome is not Outcome.OK:
             # Guards against a server that fails one class and serves the others, whose successes would clear
             # it. One failure is enough: others are drawn meanwhile; if all of them fail it changes nothing.
             times = server.shunned.get(at, (0, 0.0))[0]
             span = self._pause_ms * self.fleet.ready_count * 2.0 ** min(times + 1, 16)
-            span = min(self.settings.cold_ms, span) * (0.5 + self.rng.random())
+            span = min(self.LONGEST_MS, span) * (0.5 + self.rng.random())
             server.shunned[at] = (times + 1, self.now + span)
         server.strikes += 1
         # Guards against the fast failure, which would regain its token first and attract the next call.
@@ -904,7 +916,7 @@
             # A copy of low rate comes by seldom: less than the time between two visits would be no ejection.
             span = max(self._latency[request.class_index], self._pause_ms * ready)
             span *= 2.0 ** min(server.ejections, 16)
-            span = min(self.settings.cold_ms, span) * (0.5 + self.rng.random())
+            span = min(self.LONGEST_MS, span) * (0.5 + self.rng.random())
             self.fleet.eject(server, self.now + span)
 
     def _pace(self, server: Server, ratio: float) -> None:
@@ -925,7 +937,7 @@
         beyond = server.slowness - self.ORDINARY
         if beyond > 0.0:
             visit = self._pause_ms * self.fleet.ready_count
-            self.fleet.withhold(server, self.now + min(self.settings.cold_ms, self.PACE * beyond * visit))
+            self.fleet.withhold(server, self.now + min(self.LONGEST_MS, self.PACE * beyond * visit))
 
     # ------------------------------------------------ shedding: the first tier, over-share traffic first
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -759,3 +759,36 @@
         bench.request(class_index=1)
     load = Counter(bench.owed[r].tries[0].server for r, _ in bench.open_tries())
     assert max(load.values()) <= 2 * min(load.values()) and len(load) == 4
+
+
+@pytest.mark.parametrize("cold_ms", [0.0, 30_000.0])
+def test_a_server_that_mostly_fails_is_kept_out_however_many_calls_are_out(cold_ms: float) -> None:
+    # Guards against the chance success that clears it, against draws without a token, which would go to the
+    # server that failed its calls at once, and against a span that hangs on an unrelated setting.
+    bench = driver(replace(PLAIN, tier=1, tiers=2, cold_ms=cold_ms), servers=4)
+    chance = Random(5)
+    got: Counter[int] = Counter()
+    for _ in range(1500):
+        bench.request(1)
+        bench.advance(20.0)
+        for request, attempt in bench.open_tries():
+            one = bench.owed[request].tries[attempt]
+            if one.server == 0:
+                bench.end(request, attempt, Outcome.OK if chance.random() < 0.1 else Outcome.ERROR)
+            elif bench.now - one.sent >= 50.0:
+                bench.end(request, attempt, Outcome.OK)
+            got[one.server] += 1
+    assert got[0] < 30
+
+
+def test_a_repeat_goes_to_another_server_than_the_one_that_failed() -> None:
+    # Guards against a call that is given up after four tries at the same dead server.
+    for seed in range(50):
+        bench = driver(replace(PLAIN, tier=1, tiers=2), servers=4, seed=seed)
+        for _ in range(4):
+            bench.request(1)  # no token is left
+        bench.request(1)
+        while len(bench.owed[bench.next_id].tries) < 4:
+            bench.end(bench.next_id, len(bench.owed[bench.next_id].tries) - 1, Outcome.CONNECT_FAILED)
+        tried = [one.server for one in bench.owed[bench.next_id].tries]
+        assert len(set(tried)) == 4
