While own calls outnumber the servers, don't eject a server for time-outs

Evidence: own calls per server, logged each 0.4 s at the front's balancer: from 9 s on three to five of nine servers have none at all for ten seconds and more, and the others 15 to 40 each. Those without are ejected or shunned for time-outs and slow answers that the whole tier gives.

Cause: `_judge` ejects, shuns and withholds for a time-out and a slow answer as for a fast failure. Time-outs come in groups when a tier is full, so the odds that it takes for one server's fault are none, and each server put out fills the rest further.

While own calls outnumber the servers, where the calls still out there keep others away anyhow, they now count as calls in the choice and put nobody out. A fast failure still does.

--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -90,6 +90,7 @@
         "cell",
         "ejected",
         "ejections",
+        "failing_ms",
         "id",
         "kind",
         "linked",
@@ -115,7 +116,8 @@
         self.token = False  # on the token list; else its token is spent or withheld
         self.until_ms = 0.0  # its token is withheld until then, on evidence of being busy or unwell
         self.strikes = 0  # failed attempts in a row
-        self.ejections = 0  # since its last success
+        self.ejections = 0  # less its successes since
+        self.failing_ms = 0.0  # it has failed a call at once, and has no other until then
         self.ejected = False
         self.kind = entry.kind
         # By class: its failures in a row, and until when its token does not count for that class.
@@ -702,7 +704,7 @@
                 if kept.token and self._may_draw(request, kept):
                     return kept
         server = None
-        if self._out > self.fleet.ready_count:
+        if self._crowded:
             # Exception, while own calls outnumber the servers, so that own counts tell of the load:
             # those with the fewest.
             server = self._draw_fewest(request)
@@ -713,21 +715,28 @@
             or self._draw_any(request)
         )
 
+    @property
+    def _crowded(self) -> bool:
+        return self._out > self.fleet.ready_count
+
     def _draw_fewest(self, request: Request) -> Server | None:
         """Uniform over the servers with the fewest own calls of those that may be sent to and don't fail.
 
+        Each failure in a row counts as a call: guards against a silent server, which holds its share of them.
+
         A token withheld for slowness does not leave a server out: guards against all calls piling on the few
         that hold theirs, until these slow down in turn and the load moves on to the next ones.
         """
         found: list[Server] = []
         least = math.inf
         for server in self.fleet.all_ready(self.settings.my_zone if self._stays_near(request) else None):
-            if server.outstanding > least or (server.strikes and server.until_ms > self.now):
+            count = server.outstanding + server.strikes
+            if count > least or server.failing_ms > self.now or self._shuns(request, server):
                 continue
-            if not self._may_draw(request, server) or self._shuns(request, server):
+            if not self._may_draw(request, server):
                 continue
-            if server.outstanding < least:
-                found, least = [], server.outstanding
+            if count < least:
+                found, least = [], count
             found.append(server)
         return found[int(self.rng.random() * len(found))] if found else None
 
@@ -898,6 +907,11 @@
             if times > 1:
                 server.shunned[at] = (times - 1, until_ms)
             return
+        server.strikes += 1
+        if self._crowded and outcome in (Outcome.OK, Outcome.TIMEOUT):
+            # Slow, not broken: the calls that it holds keep others away. Guards against ejecting servers for
+            # the load of a whole tier, which then falls on the rest.
+            return
         if outcome not in NEVER_RAN and outcome is not Outcome.OK:
             # Guards against a server that fails one class and serves the others, whose successes would clear
             # it. One failure is enough: others are drawn meanwhile; if all of them fail it changes nothing.
@@ -905,10 +919,9 @@
             span = self._pause_ms * self.fleet.ready_count * 2.0 ** min(times + 1, 16)
             span = min(self.LONGEST_MS, span) * (0.5 + self.rng.random())
             server.shunned[at] = (times + 1, self.now + span)
-        server.strikes += 1
         # Guards against the fast failure, which would regain its token first and attract the next call.
-        pause = self._latency[request.class_index] * (0.25 + 0.5 * self.rng.random())
-        self.fleet.withhold(server, self.now + pause)
+        server.failing_ms = self.now + self._latency[at] * (0.25 + 0.5 * self.rng.random())
+        self.fleet.withhold(server, server.failing_ms)
         ready = self.fleet.ready_count
         if self._fail_share**server.strikes < self.OUTLIER and 2 * self.fleet.ejected < ready:
             # Doubles with each ejection, not with each failure, which a bad tier gives to all.
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -792,3 +792,21 @@
             bench.end(bench.next_id, len(bench.owed[bench.next_id].tries) - 1, Outcome.CONNECT_FAILED)
         tried = [one.server for one in bench.owed[bench.next_id].tries]
         assert len(set(tried)) == 4
+
+
+def test_time_outs_of_a_crowded_tier_put_no_server_out() -> None:
+    # Guards against the cascade: ejected for the load of the whole tier, servers leave theirs to the rest.
+    bench = driver(replace(PLAIN, tier=1, tiers=2), servers=6)
+    for _ in range(400):  # nearly all is well
+        bench.request(1)
+        bench.advance(2.0)
+        while len(bench.open_tries()) > 30:
+            bench.end(*bench.open_tries()[0], Outcome.OK)
+    for request, attempt in bench.open_tries():
+        if bench.owed[request].tries[attempt].server < 2:
+            bench.end(request, attempt, Outcome.TIMEOUT)
+    before = bench.next_id
+    for _ in range(60):
+        bench.request(1)
+    load = Counter(bench.owed[n].tries[0].server for n in range(before + 1, bench.next_id + 1))
+    assert len(load) == 6
