Bound the calls out for long by what the ready servers bear

Evidence: window, calls out and latency logged each 0.4 s. Admission steers the latency for half the way to the aim, or three times the latency at low load. That is 90 to 110 calls out to nine servers, 10 to 14 each, of which the slowest tier holds most: just what makes a node with two cores turn three times slower until it has had a rest. "The latency at low load" itself climbs meanwhile (view-config 200 -> 440 ms), so that the window opens again on choked servers. Latency can't show it in time.

Now the mean of the calls out over a second stays below seven a ready server, over all copies. A fresh copy starts at the same level, not at four.

--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -547,7 +547,10 @@
     TOLERANCE = 3.0  # of the latency at low load: what admission lets queues and crowding add
     BASE_RISE = 0.1  # the latency at low load is followed down at once and up slowly
     GAIN = 0.2  # of the window, a round trip, for a latency off by the whole target
-    FIRST_LEVEL = 4.0  # calls a server is first taken to bear, from all copies together
+    # Calls a server bears, from all copies together. Guards against queues that the latency allows and the
+    # servers don't: a server of two cores on which 8 to 14 wait turns three times slower and stays so.
+    LEVEL = 7.0
+    LEVEL_MS = 1_000.0  # over which they are averaged: it takes a server longer than that to turn slow
     FIRST_WINDOW = 0.5  # at the least, until there is evidence
     LEAST_WINDOW = (
         0.1  # a part of a call is admitted by chance: copies of low rate must be able to shed as well
@@ -612,6 +615,7 @@
         ]  # of a call at home and elsewhere, in parts of the aim; a failure is a whole one
         self._out = 0
         self._out_mean = 0.0  # as arrivals find it
+        self._load = 0.0  # the same over LEVEL_MS
         total = sum(tenant.quota_per_s for tenant in settings.tenants) or 1.0
         self._fair = [tenant.quota_per_s / total for tenant in settings.tenants]
         self._part = list(self._fair)  # of the requests that come here
@@ -657,7 +661,9 @@
         self.requests[request.id] = request
         self.slow_start.earn(self.fleet.ready_count, self.now)
         if self._last_ms >= 0.0:
-            self._pause_ms += self.MEMORY * (self.now - self._last_ms - self._pause_ms)
+            pause = self.now - self._last_ms
+            self._pause_ms += self.MEMORY * (pause - self._pause_ms)
+            self._load += (1.0 - math.exp(-pause / self.LEVEL_MS)) * (self._out - self._load)
         self._last_ms = self.now
         if event.expected_ms:
             at = event.class_index
@@ -986,12 +992,18 @@
         self._out_mean += self.OUT_MEMORY * (self._out - self._out_mean)
         limit = self._window * (0.8 + 0.6 * self.rng.random())
         if over_share:
+            limit = min(limit, self._bearable)
             return self._out_mean >= limit * self._over_part
-        full = self._out_mean >= limit
+        full = self._out_mean >= limit or self._load >= self._bearable * (0.8 + 0.4 * self.rng.random())
         step = -self.CLOSE if full else self.CLOSE * self.SPARE
         self._over_part = min(self.HEADROOM, max(0.0, self._over_part + step))
         return full
 
+    @property
+    def _bearable(self) -> float:
+        """Calls that this copy may have out for long: its part of what the ready servers bear."""
+        return self.LEVEL * max(1, self.fleet.ready_count) / self.settings.copies
+
     def _steer(self, event: AttemptEnded, request: Request) -> None:
         """Move the window by how far a latency lies from its target; a failure counts as a whole aim."""
         if request.started or event.outcome in UNTELLING or event.outcome is Outcome.CONNECT_FAILED:
@@ -1148,8 +1160,7 @@
             self.slow_start.watch(fresh, self.now)
             if not self._opened and self.fleet.ready_count:
                 self._opened = True
-                first = self.FIRST_LEVEL * self.fleet.ready_count / self.settings.copies
-                self._window = max(self.FIRST_WINDOW, first)
+                self._window = max(self.FIRST_WINDOW, self._bearable)
             for server in fresh:
                 self.fleet.earn_token(server, self.now)
         if self.settings.on_request_discovery:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -810,3 +810,36 @@
         bench.request(1)
     load = Counter(bench.owed[n].tries[0].server for n in range(before + 1, bench.next_id + 1))
     assert len(load) == 6
+
+
+def test_calls_out_for_long_stay_below_what_makes_servers_choke() -> None:
+    # Guards against latency as the only guide: far from the aim, it lets in more than the servers bear.
+    bench = driver(servers=4)
+    outs = []
+    for n in range(3000):  # 90 calls would be out if all were let in
+        bench.request(1)
+        bench.request(1)
+        bench.advance(1.0)
+        for request, attempt in bench.open_tries():
+            if bench.now - bench.owed[request].tries[attempt].sent >= 45.0:
+                bench.end(request, attempt, Outcome.OK)
+        if n > 2000:
+            outs.append(len(bench.open_tries()))
+    assert 8 < sum(outs) / len(outs) < 4 * 8
+
+
+def test_a_burst_shorter_than_it_takes_to_choke_is_let_in() -> None:
+    # Guards the other side: a bound at each moment would refuse what the servers work off in time.
+    bench = driver(servers=4)
+    for _ in range(200):
+        bench.request(1)
+        bench.advance(10.0)
+        for request, attempt in bench.open_tries():
+            if bench.now - bench.owed[request].tries[attempt].sent >= 40.0:
+                bench.end(request, attempt, Outcome.OK)
+    bench.balancer._window = 100.0  # latency allows it
+    before = bench.next_id
+    for _ in range(50):
+        bench.request(1)
+        bench.advance(1.0)
+    assert all(bench.owed[n].tries for n in range(before + 1, bench.next_id + 1))
