Hold the last byte back on kept connections, so that dead ones show in time

Symptom: from the first second to the last one request in ten fails, in every stretch alike, place-order most, with four attempts a request. The table counts 18 to 33 resets a stretch.

A failed place-order followed by its id: sent to a server with a free connection, reset after 0.1 ms, may have run, so failed. Or a tier deeper: the caller's 500 comes from the same reset of one of its calls. Each connection's age, uses and idle time were logged then. Upstreams of all tiers close kept connections after 250 to 700 ms, far below the 30 s of the settings, and some of them within 25 ms of an answer. Of the calls on connections that had lain idle below 100 ms, and on new ones, 1 to 2 % are reset; above 150 ms 10 %, evenly up to 700 ms. When such a call is written neither an end nor an error waits on the socket: the upstream has closed the connection and the word of it is still on its way. 89 of 123 resets were on kept connections, 0.1 ms after the write.

Cause: `UpstreamConnection.send` writes the request in one piece. By the time a dead connection shows itself the last byte is out, so that the attempt may have run and nothing unsafe may be sent again (rule two). The protocol draws the line at the last byte: what breaks before it never ran.

Ruled out: the servers' load (p50 205 ms, resets the same in quiet stretches); one bad server or tier (2 % and 10 % on each of twelve); the module's choice of servers; the pool's own keep time (shortening it opens a new connection for each call, whose resets are 2 % as well and whose handshakes cost).

Mend, in the network code: on a kept connection the last byte is written 2 ms after the others. If the connection breaks in between, the same attempt goes on on a new connection. One written to a dead connection with no new one to be had ends as 'could not connect'.

What is left: the resets of 2 % on any connection, young or old.

--- a/larkweir/upstreams.py
+++ b/larkweir/upstreams.py
@@ -167,6 +167,8 @@
         self._transport: asyncio.Transport | None = None
         self._reader = ResponseReader()
         self._call: Call | None = None
+        self._rest = b""  # of the call's request, what is held back: see HOLD_MS
+        self._used = False  # it has carried a call before
         self._held = 0  # booked of the room that all connections share
         self._report: bytes | None = None  # the body of the answer before, if that was a probe's
         self.resting = False  # the answer before was an attempt's: see REST_MS
@@ -183,7 +185,7 @@
         self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
 
     def resume_writing(self) -> None:
-        if self._call is not None:
+        if self._call is not None and not self._rest:
             self._call.written = True
 
     def data_received(self, data: bytes) -> None:
@@ -228,30 +230,54 @@
 
     def eof_received(self) -> None:
         self.abort()  # half-closed: no further answer comes, and nothing may be written to it
-        if self._call is not None:
-            self._call.broken()
+        self._break_call()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._pool.closed(self)
         self._transport = None
         self._reader.close()
         self._book(0)
-        if self._call is not None:
-            self._call.broken()
+        self._break_call()
+
+    def _break_call(self) -> None:
+        call = self._call
+        if call is None:
+            return
+        if self._rest and not call.touched:  # nobody has the request: it is as if it had not been begun
+            self._call = call.connection = None
+            self._pool.renew(call)
+        else:
+            call.broken()
 
     # Called by the pool and by calls.
 
     def send(self, call: Call, payload: bytes) -> None:
+        """Write the request; on a kept connection its last byte a moment later."""
         assert self._transport is not None
         self._call = call
-        self._transport.write(payload)
-        if self._transport.get_write_buffer_size() == 0:
-            call.written = True
+        if self._used:
+            self._rest = payload[-1:]
+            self._pool.later(lambda: self._complete(call))
+            payload = payload[:-1]
+        self._used = True
+        self._write(payload)
+
+    def _complete(self, call: Call) -> None:
+        if self._call is call and self._rest:
+            rest, self._rest = self._rest, b""
+            self._write(rest)
+
+    def _write(self, data: bytes) -> None:
+        assert self._transport is not None and self._call is not None
+        self._transport.write(data)
+        if not self._rest and self._transport.get_write_buffer_size() == 0:
+            self._call.written = True
 
     def release(self, call: Call) -> None:
         """The call has ended without an answer: closing the connection is what gives it up."""
         if self._call is call:
             self._call = None
+            self._rest = b""
             self.abort()
 
     def usable(self) -> bool:
@@ -273,6 +299,10 @@
     # for the answer to the next call. A probe is the first half of a send, so its connection does not rest:
     # there an answer that repeats the probe's is told by its body.
     REST_MS = 25.0
+    # On a kept connection the last byte of a request is written so much later: an upstream that closed the
+    # connection unseen resets it on the first bytes, what was not written whole has not run, and the request
+    # goes out on a new connection. Guards unsafe requests, which nobody may repeat after a reset.
+    HOLD_MS = 2.0
     CONNECT_MARGIN_MS = 100.0  # of the drain's grace, for lists that are read late
 
     def __init__(
@@ -327,6 +357,13 @@
             if not call.write(idle):
                 self.put(idle)
             return
+        self.renew(call)
+
+    def later(self, call: Callable[[], None]) -> None:
+        self._clock.after(self.HOLD_MS, call)
+
+    def renew(self, call: Call) -> None:
+        """Go on with a call on a new connection."""
         if self.sockets >= self._budget and not self._close_oldest():
             call.end(Outcome.CONNECT_FAILED)
             return
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -35,6 +35,7 @@
     Talk,
     entry,
     ok,
+    read_head,
     running,
     status,
 )
@@ -857,3 +858,71 @@
         listener.close()
 
     run(work())
+
+
+class Unseen:
+    """An upstream whose connections serve one request each and are dead after that, which shows only when
+    something is written to them.
+    """
+
+    def __init__(self) -> None:
+        self.whole = 0
+        self.connections = 0
+
+    async def start(self) -> Unseen:
+        self._server = await asyncio.start_server(self._talk, "127.0.0.1", 0)
+        self.port = int(self._server.sockets[0].getsockname()[1])
+        return self
+
+    async def _talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        head = await read_head(reader)
+        assert head is not None
+        await reader.readexactly(int(head[1].get("content-length", "0")))
+        self.whole += 1
+        writer.write(ok())
+        if await reader.read(1):
+            writer.transport.abort()
+
+    def close(self) -> None:
+        self._server.close()
+
+
+def test_a_request_that_meets_a_dead_kept_connection_goes_out_on_a_new_one() -> None:
+    """Guards unsafe requests: after a reset of the whole request nobody may repeat them."""
+
+    async def work() -> None:
+        upstream = await Unseen().start()
+        script = Script([1])
+        async with (
+            running(entry("a", upstream.port), script=script) as balancer,
+            Caller(balancer.port) as caller,
+        ):
+            for _ in range(5):
+                caller.ask("move", b"x")
+                assert (await caller.answer()).status == 200
+        upstream.close()
+        assert [event.outcome for event in script.ends()] == [Outcome.OK] * 5
+        assert (upstream.whole, upstream.connections) == (5, 5)
+
+    run(work())
+
+
+def test_a_dead_kept_connection_and_no_new_one_proves_that_nothing_ran() -> None:
+    """Guards the row 'could not connect': the connection broke before the last byte was written."""
+
+    async def work() -> None:
+        upstream = await Unseen().start()
+        script = Script([1])
+        async with (
+            running(entry("a", upstream.port), script=script) as balancer,
+            Caller(balancer.port) as caller,
+        ):
+            caller.ask("move", b"x")
+            assert (await caller.answer()).status == 200
+            upstream.close()
+            caller.ask("move", b"x")
+            assert (await caller.answer()).status == 502
+        assert [event.outcome for event in script.ends()] == [Outcome.OK, Outcome.CONNECT_FAILED]
+
+    run(work())
