Ask for the list sooner after a start: where few copies start, and when it shows to be old

Evidence: list lines of that copy. It starts at 17.5 s with two ready servers that still run, one ready one that is gone and two that drain; it asks at 19.x s and has the list at 20.05 s: two new servers on it that nobody sent to for 2.5 s, while connects to the one gone fail 17 to 33 times.

Cause: `_follow_list` puts the first call off by up to a quarter of the asking duty, 2.5 s, so that copies that start together don't ask together. The front has one to three copies, which are restarted one by one.

The spread now grows with the number of copies, 250 ms for each, up to what it was; and a copy that has not asked yet does so at once when a listed server proves not to be there.

Ruled out: discovery's own lateness (its answer came within half a second).

--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -555,6 +555,7 @@
     LEAST_WINDOW = (
         0.1  # a part of a call is admitted by chance: copies of low rate must be able to shed as well
     )
+    LIST_SPREAD_MS = 250.0  # for each copy: about as long as a call takes discovery
     OUT_MEMORY = 1.0 / 8.0
     HEADROOM = 0.9  # of the window, at most open to traffic over its tenant's share
     SLOW = (
@@ -589,6 +590,7 @@
         self.out: list[Action] = []
         self._booted = False
         self._list_backoff_ms = 0.0
+        self._unasked = False  # the cached list is all there is so far
         self._retries = self.RETRY_CAP / 2.0
         self._usual = [Usual() for _ in settings.classes]
         self._latency = [cls.aim_ms / 3.0 for cls in settings.classes]
@@ -834,6 +836,9 @@
             self._latency[at] += self.MEMORY * (event.spent_ms - self._latency[at])
         elif event.outcome not in UNTELLING:
             self._judge(server, request, event.outcome, True)
+            if self._unasked and event.outcome in NEVER_RAN:
+                # A listed server is not there any more: the list is old, and lacks the new ones.
+                self._ask_list()
         self.fleet.earn_token(server, self.now)
         if event.final or event.outcome is Outcome.OK:
             request.started = True
@@ -1135,7 +1140,8 @@
 
     def _on_timer(self, event: TimerFired) -> None:
         if event.cookie == LIST_COOKIE:
-            self.out.append(WatchList(True))
+            if self._unasked or self._list_backoff_ms:
+                self._ask_list()
             return
         request = self.requests.get(event.cookie)
         if request is None or request.started or request.wake_ms < 0.0:
@@ -1175,13 +1181,19 @@
             )
             self._later(LIST_COOKIE, self._list_backoff_ms * (0.5 + self.rng.random()))
         elif not self._booted:
-            # The cached list serves at first; a quarter of the duty's interval leaves time for calls that
-            # fail.
-            self._later(LIST_COOKIE, self.rng.random() * self.settings.ask_within_ms / 4.0)
+            # The cached list serves at first, unless it shows to be old. Spread by how many copies may start
+            # together; a quarter of the duty's interval leaves time for calls that fail.
+            spread = min(self.LIST_SPREAD_MS * self.settings.copies, self.settings.ask_within_ms / 4.0)
+            self._later(LIST_COOKIE, self.rng.random() * spread)
+            self._unasked = True
         elif kind is not ListKind.CACHED:
             self._list_backoff_ms = 0.0
         self._booted = True
 
+    def _ask_list(self) -> None:
+        self._unasked = False
+        self.out.append(WatchList(True))
+
     def _later(self, cookie: int, delay_ms: float) -> None:
         self.out.append(SetTimer(cookie, delay_ms))
 
