Wait for a whole list as long as discovery keeps a call

What discovery has to tell counts as told 4 s after it, so that a release at that time would end in sends to servers that drain.

Evidence: list and reload lines of all balancers. Eight copies are reloaded 0.4 s apart, and discovery answers one call after the other: the answers of the first reload took 0.3 to 1.8 s, those of the second 0.4 to 2 s and more.

Cause: `Discovery.CALL_S` gave a call up after 2 s. Discovery keeps a call for 3 s; given up, the call loses its turn, counts as a failure, and the module backs off for 1 to 3 s before the next one.

--- a/larkweir/discovery.py
+++ b/larkweir/discovery.py
@@ -168,7 +168,9 @@
     WAIT_S = 20.0
     PUSHED_WAIT_S = 4.0  # asking costs nothing there, and a connection that has died shows sooner
     GRACE_S = 1.5  # past the wait, for the answer to come
-    CALL_S = 2.0  # for a call that need not wait
+    # For a call that need not wait: longer than discovery, which takes calls in turn, keeps one (3 s).
+    # Guards against losing the turn and asking anew, again and again, while discovery is busy.
+    CALL_S = 3.5
     PACE_S = 0.025  # at least from call to call; well under what ends a watch
     FIRST_PAUSE_S = 0.05
     LONGEST_PAUSE_S = 1.0
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -193,6 +193,7 @@
         self.changes: list[tuple[int, dict[str, Any]]] = []
         self.calls: asyncio.Queue[str] = asyncio.Queue()
         self.garbage: list[bytes] = []  # answers given in place of true ones
+        self.delay_s = 0.0  # of a whole list
         self._changed = asyncio.Event()
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -247,6 +248,7 @@
                     rows = [item for at, item in self.changes if at > after]
                     data: dict[str, Any] = {"generation": self.generation, "reset": False, "instances": rows}
                 else:
+                    await asyncio.sleep(self.delay_s)
                     data = self.whole()
                 writer.write(ok(json.dumps(data).encode()))
         except (ConnectionError, asyncio.CancelledError):
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -283,3 +283,25 @@
     data = {"generation": 1, "reset": True, "instances": [entry("a", 80), entry("b", 81) | change]}
     with pytest.raises(DiscoveryError):
         parse_listing(data, Names(("north",), ("box",)))
+
+
+def test_a_whole_list_may_take_as_long_as_discovery_keeps_a_call() -> None:
+    """Guards the list after a reload: a call given up early loses its turn in discovery's queue, and the next
+    one comes too late for what was told meanwhile.
+    """
+
+    async def work() -> None:
+        upstream = await FakeUpstream().start()
+        script = Script([1])
+        slow = await FakeDiscovery([upstream.entry("late")]).start()
+        slow.delay_s = 2.5
+        async with running(script=script) as balancer:
+            balancer.engine.discovery.move(("127.0.0.1", slow.port))
+            listing = await updates(script, ListKind.FULL)
+            assert len(listing.entries) == 1
+            assert slow.calls.get_nowait() == "/v1/endpoints"
+            assert slow.calls.empty() or "after=" in slow.calls.get_nowait()
+        slow.stop()
+        upstream.close()
+
+    run(work())
