Give a safe call up once it counts as slow, while a repeat can be in time

Evidence: a failed view-config followed by its id: one attempt at the third tier, sent with all of the time left, never answered, timed out at the aim; then nothing is left for a repeat there or in the tiers above. 1.5 % of the attempts of all tiers end so, on all servers alike, with short answers before and after on the same server.

Cause: `_send` lets the one attempt have the whole time to the aim.

A safe call with attempts left is now given up where its answer would count as slow (four times the usual of its class and size), if a usual answer still fits in then, and only while the calls out are below half of what the servers bear: under load slow answers are the rule and repeats make them slower.

--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -799,7 +799,20 @@
         request.attempts.append(Attempt(server, self.now, idle))
         request.out += 1
         self._out += 1
-        self.out.append(Send(request.id, server.id, request.aim_ms - self.now))
+        self.out.append(Send(request.id, server.id, self._patience(request)))
+
+    def _patience(self, request: Request) -> float:
+        """How long to wait for an answer: to the aim, less where a harmless repeat can still be in time.
+
+        Guards against an answer that never comes, on which the whole of the time would be spent.
+        """
+        left = request.aim_ms - self.now
+        usual = self._latency[request.class_index]
+        slow = self.SLOW * usual * max(1.0, request.size)
+        repeat = request.cls.effect is Effect.SAFE and len(request.attempts) < self.settings.max_attempts
+        # Not under load: answers are slow then because servers are full, and a repeat fills them further.
+        light = self._load < 0.5 * self._bearable and self._retries >= 1.0
+        return slow if repeat and light and left - slow > usual else left
 
     def _close(self, server: Server) -> None:
         self.links.drop(server)
