Let a copy take the parts of the others over while nothing queues

Evidence: arrivals per half second at both. From 13.3 to 16.4 s and from 17.9 to 20.5 s one copy gets all of the traffic; 26 and 51 of its answers are refusals without an attempt, at 10 to 14 calls out on three or four servers.

Cause: the bound on the calls out for long is divided by the number of copies (`_bearable`), and so was the first window before it. A copy can't see the others, but it sees that nothing queues: answers then take below twice the work that the hints tell, through all tiers (1.75 in quiet stretches; by Little's law 2.0 at the bound of seven a server and 4 where servers choke).

The bound now goes from the copy's part to the whole, as answers take from 2.2 to 1.8 times the hinted work. Without hints it is the part as before.

Tried and dropped: the latency over that at low load as the sign of a queue.

--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -550,6 +550,10 @@
     # Calls a server bears, from all copies together. Guards against queues that the latency allows and the
     # servers don't: a server of two cores on which 8 to 14 wait turns three times slower and stays so.
     LEVEL = 7.0
+    UNQUEUED, QUEUED = (
+        1.8,
+        2.2,
+    )  # times its work that a call takes through all tiers, with none and some queued
     LEVEL_MS = 1_000.0  # over which they are averaged: it takes a server longer than that to turn slow
     FIRST_WINDOW = 0.5  # at the least, until there is evidence
     LEAST_WINDOW = (
@@ -1019,8 +1023,21 @@
 
     @property
     def _bearable(self) -> float:
-        """Calls that this copy may have out for long: its part of what the ready servers bear."""
-        return self.LEVEL * max(1, self.fleet.ready_count) / self.settings.copies
+        """Calls that this copy may have out for long: its part of what the ready servers bear.
+
+        The parts of the other copies too, while answers come about as soon as their work allows: while those
+        are restarted, their traffic comes here and their servers stand idle.
+        """
+        queued = (self._stretch - self.UNQUEUED) / (self.QUEUED - self.UNQUEUED)
+        queued = min(1.0, max(0.0, queued))
+        part = queued / self.settings.copies + (1.0 - queued)
+        return self.LEVEL * max(1, self.fleet.ready_count) * part
+
+    @property
+    def _stretch(self) -> float:
+        """How many times the work that their hints tell the answers take; without hints, no telling."""
+        hinted = [(time, work) for time, work in zip(self._latency, self._work, strict=True) if work > 0.0]
+        return sum(time for time, _ in hinted) / sum(work for _, work in hinted) if hinted else math.inf
 
     def _steer(self, event: AttemptEnded, request: Request) -> None:
         """Move the window by how far a latency lies from its target; a failure counts as a whole aim."""
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -84,7 +84,9 @@
             self.told[entry.server] = entry
         return self.feed(ListUpdate(kind, 1, entries))
 
-    def request(self, class_index: int = 0, left: float | None = None, tenant: int = 0) -> list[Action]:
+    def request(
+        self, class_index: int = 0, left: float | None = None, tenant: int = 0, hint: float | None = None
+    ) -> list[Action]:
         cls = self.settings.classes[class_index]
         left = cls.deadline_ms if left is None else left
         self.next_id += 1
@@ -96,7 +98,7 @@
             share = self.settings.cold_share
             grown = sum(share + (1 - share) * (self.now - e.started_ms) / self.settings.cold_ms for e in cold)
             self.cold_allowance += grown / len(ready)
-        return self.feed(RequestArrived(self.next_id, class_index, left, tenant))
+        return self.feed(RequestArrived(self.next_id, class_index, left, tenant, expected_ms=hint))
 
     def is_cold(self, entry: ServerEntry) -> bool:
         return entry.started_ms > 0 and self.now - entry.started_ms < self.settings.cold_ms
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -895,3 +895,29 @@
     bench.balancer._load = 60.0
     (send,) = [a for a in bench.request(0) if isinstance(a, Send)]
     assert send.timeout_ms > 250.0
+
+
+def mean_out(copies: int, spent_ms: float) -> float:
+    """Calls out on four servers, by a copy that gets two hinted calls a millisecond."""
+    bench = driver(replace(PLAIN, copies=copies), servers=4)
+    outs = []
+    for n in range(2500):
+        bench.request(1, hint=25.0)
+        bench.request(1, hint=25.0)
+        bench.advance(1.0)
+        for request, attempt in bench.open_tries():
+            if bench.now - bench.owed[request].tries[attempt].sent >= spent_ms:
+                bench.end(request, attempt, Outcome.OK)
+        if n > 1500:
+            outs.append(len(bench.open_tries()))
+    return sum(outs) / len(outs)
+
+
+def test_a_copy_takes_the_parts_of_the_others_over_while_nothing_queues() -> None:
+    # Guards the restart of one copy of two: the other gets all the traffic, and the servers could serve it.
+    assert mean_out(2, 38.0) > 0.8 * mean_out(1, 38.0)
+
+
+def test_a_copy_keeps_to_its_part_while_calls_queue() -> None:
+    # Guards overload: each of two copies would take what both together may.
+    assert mean_out(2, 62.0) < 0.65 * mean_out(1, 62.0)
