Learn the latency of a class from its first answers

Evidence: its log: latencies start at a third of the aim (250, 500, 500 and 667 ms) and are at 253, 443, 454 and 581 ms after 0.4 s and 40 answers. Four classes share them, and each answer moves its class's mean by a sixteenth.

Cause: the guess that the means start from weighs as much as a long history. The bound on calls out, what counts as slow, the hope to be in time and the time kept for a repeat all go by it.

The guess now counts as one answer, and the mean is even over the first ones.

--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -599,6 +599,7 @@
         self._usual = [Usual() for _ in settings.classes]
         self._latency = [cls.aim_ms / 3.0 for cls in settings.classes]
         self._base = [cls.aim_ms / 3.0 for cls in settings.classes]
+        self._answers = [0 for _ in settings.classes]
         # Probing
         self._level_at = self._queue_at = -1
         self._most_running = 0.0  # calls that any server was seen to run at once
@@ -850,7 +851,9 @@
             self._judge(server, request, event.outcome, slow)
             self._pace(server, event.spent_ms / (usual * max(0.25, request.size)))
             at = request.class_index
-            self._latency[at] += self.MEMORY * (event.spent_ms - self._latency[at])
+            self._answers[at] += 1  # what it starts from is a guess, and counts as one answer
+            weight = max(self.MEMORY, 1.0 / (1.0 + self._answers[at]))
+            self._latency[at] += weight * (event.spent_ms - self._latency[at])
         elif event.outcome not in UNTELLING:
             self._judge(server, request, event.outcome, True)
             if self._unasked and event.outcome in NEVER_RAN:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -921,3 +921,13 @@
 def test_a_copy_keeps_to_its_part_while_calls_queue() -> None:
     # Guards overload: each of two copies would take what both together may.
     assert mean_out(2, 62.0) < 0.65 * mean_out(1, 62.0)
+
+
+def test_a_fresh_copy_learns_the_latency_from_its_first_answers() -> None:
+    # Guards the start: what it goes by at first is a guess from the aim, far above what answers take.
+    bench = driver(replace(PLAIN, classes=(SAFE, replace(UNSAFE, aim_ms=3000.0, deadline_ms=9000.0))))
+    for _ in range(5):
+        bench.request(1)
+        bench.advance(100.0)
+        bench.end(bench.next_id, 0, Outcome.OK)
+    assert bench.balancer._latency[1] < 300.0
