Tell a refused client a time to come again that can still serve it

Every refusal carries Retry-After 2.000, the longest that is allowed; the aims are 0.75, 1.5, 1.5 and 2 s from the first try.

Cause: `_answer` names the longest wait for each refusal.

A refusal is given at once as before. It names about one call's time now, spread by half, after which places are free again, where an answer can still be in time then; else the longest wait as before.

--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -881,11 +881,15 @@
     def _answer(self, request: Request) -> None:
         """The final answer of a request that will not be served.
 
-        A refusal tells when to come again: what could not be placed now finds the same servers busy a moment
-        later, and a repeat at once would take a place from a request that can still be in time.
+        A refusal tells when to come again: after about one call's time, when places are free again, if an
+        answer can be in time then. Else as late as may be: a repeat would take a place from one that can be.
         """
         if self.legality.may_refuse(request):
-            self.out.append(Refuse(request.id, self.settings.max_retry_after_ms))
+            usual = self._latency[request.class_index]
+            wait_ms = usual * (0.75 + 0.5 * self.rng.random())  # spread: not all that were refused at once
+            if self.now + wait_ms + usual > request.aim_ms:
+                wait_ms = self.settings.max_retry_after_ms
+            self.out.append(Refuse(request.id, min(wait_ms, self.settings.max_retry_after_ms)))
         else:
             self.out.append(Fail(request.id))
         self._forget(request)
