Give pools, listeners and the clock modules of their own; stand-ins as a package

Need: the program knew one listener and one pool, and engine and connections imported each other through the clock. Several pools and configurations need parts that can exist more than once. Change: core/ holds clock, timers, log, room, addresses and the ids of requests, shared by all pools; an engine is one pool, made from a plan and a source; a listener hands whole requests to a front; single puts the platform's program together.

--- a/larkweir/__main__.py
+++ b/larkweir/__main__.py
@@ -9,9 +9,9 @@
 
 import uvloop
 
-from larkweir.config import Config, ConfigError, load
-from larkweir.engine import Engine
-from larkweir.listener import Listener
+from larkweir.config.platform import Config, load
+from larkweir.core.address import ConfigError
+from larkweir.single import Single
 
 ACCEPT_MS = 550.0  # new connections go on coming for up to 400 ms after SIGTERM
 LAST_MS = 100.0  # past the longest deadline, for the last answers to be read
@@ -23,8 +23,9 @@
     count from the next start. One read at a time; of signals in a row, what the last one finds counts.
     """
 
-    def __init__(self, engine: Engine) -> None:
-        self._engine = engine
+    def __init__(self, single: Single) -> None:
+        self._journal = single.shared.journal
+        self._discovery = single.discovery
         self._asked = False
         self._task: asyncio.Task[None] | None = None
 
@@ -40,10 +41,10 @@
                 # On a thread: requests don't wait for a disk or for a long file to be checked.
                 config = await asyncio.to_thread(load, again=True)
             except ConfigError as problem:
-                self._engine.journal.line(f"reload: {problem}; what was read before stays")
+                self._journal.line(f"reload: {problem}; what was read before stays")
                 continue
-            self._engine.journal.line(f"reload: discovery is {config.discovery[0]}:{config.discovery[1]}")
-            self._engine.discovery.move(config.discovery)
+            self._journal.line(f"reload: discovery is {config.discovery[0]}:{config.discovery[1]}")
+            self._discovery.move(config.discovery)
 
 
 async def serve(config: Config) -> int:
@@ -51,27 +52,27 @@
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    engine = Engine(config, loop)
-    loop.add_signal_handler(signal.SIGHUP, Reload(engine).ask)
-    listener = Listener(config, engine)
+    single = Single(config, loop)
+    loop.add_signal_handler(signal.SIGHUP, Reload(single).ask)
     try:
-        listener.start()
+        single.listener.start()
     except OSError as problem:
         print(f"larkweir: listen: {config.listen[0]}:{config.listen[1]}: {problem}", file=sys.stderr)
         return 2
-    engine.discovery.start()
+    single.engine.source.start()
     # Guards against collection pauses: what lives from here on is short-lived and holds few cycles.
     gc.collect()
     gc.freeze()
     gc.set_threshold(20_000, 20, 100)
     await stopping.wait()
-    await drain(config, engine, listener)
+    await drain(config, single)
     return 0
 
 
-async def drain(config: Config, engine: Engine, listener: Listener) -> None:
+async def drain(config: Config, single: Single) -> None:
     """Accept while connections still come, serve what was taken, and end as soon as nothing is owed."""
-    clock = engine.clock
+    engine, listener = single.engine, single.listener
+    clock = single.shared.clock
     begun = clock.now_ms()
     listener.closing = True
     await asyncio.sleep(ACCEPT_MS / 1000.0)
@@ -82,7 +83,7 @@
         if not engine.owed and not listener.taking:
             break
         await asyncio.sleep(STEP_S)
-    engine.discovery.stop()
+    engine.source.stop()
     engine.upstreams.close()
 
 
--- a/larkweir/config.py
+++ b/larkweir/config/platform.py
@@ -7,21 +7,15 @@
 import resource
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from ipaddress import AddressValueError, IPv4Address
 from typing import Any
 
+from larkweir.core.address import Address, ConfigError, parse_address
 from mulleinhitch.interface import Settings, SettingsError
 from mulleinhitch.wire import decode_settings
 
-Address = tuple[str, int]
-
 MEMORY_MB = 64.0  # taken where no limit is stated
 
 
-class ConfigError(ValueError):
-    """A value is missing or makes no sense; the message is one line that names key and value."""
-
-
 @dataclass(slots=True, frozen=True)
 class Config:
     name: str
@@ -38,18 +32,6 @@
     known: dict[str, Any] = field(default_factory=dict)
 
 
-def parse_address(text: object, key: str) -> Address:
-    """`address:port`, as numbers: there is no DNS."""
-    host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
-    try:
-        IPv4Address(host)
-    except AddressValueError:
-        raise ConfigError(f"{key}: {text!r} is not an IPv4 address and port") from None
-    if not port.isascii() or not port.isdigit() or len(port) > 5 or int(port) > 65535:
-        raise ConfigError(f"{key}: {text!r} is not an IPv4 address and port")
-    return host, int(port)
-
-
 def _object(data: Any, key: str) -> dict[str, Any]:
     if not isinstance(data, dict):
         raise ConfigError(f"{key}: {data!r:.200} is not an object")
--- /dev/null
+++ b/larkweir/core/log.py
@@ -0,0 +1,36 @@
+"""Log lines on standard error, bounded in rate and length. It never raises."""
+
+from __future__ import annotations
+
+import sys
+import time
+from contextlib import suppress
+
+
+class Journal:
+    """Lines on standard error, few enough that a fault that repeats can't drown the log or the process."""
+
+    PER_SECOND = 10
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._second = 0
+        self._lines = 0
+        self._dropped = 0
+
+    def line(self, text: str) -> None:
+        second = int(time.monotonic())
+        if second != self._second:
+            dropped, self._dropped = self._dropped, 0
+            self._second, self._lines = second, 0
+            if dropped:
+                self._write(f"{dropped} lines dropped")
+        if self._lines >= self.PER_SECOND:
+            self._dropped += 1
+            return
+        self._lines += 1
+        self._write(text)
+
+    def _write(self, text: str) -> None:
+        with suppress(OSError):  # a log that can't be written must not end the balancer
+            print(f"larkweir {self._name}: {text[:2000]}", file=sys.stderr, flush=True)
--- /dev/null
+++ b/larkweir/core/shared.py
@@ -0,0 +1,59 @@
+"""What all pools of one process share: its clock, its log, its memory, and the ids of its requests."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+from larkweir.core.clock import Clock
+from larkweir.core.log import Journal
+from larkweir.core.room import Room
+
+
+class Traces:
+    """Ids of requests that are open in any pool, or were until lately: an id is new with every request, so a
+    copy that comes a moment after the answer must not run either, whichever pool it would go to.
+    """
+
+    MOST_PAST = 4096  # ids remembered
+
+    def __init__(self, past_ms: float) -> None:
+        self.open: set[bytes] = set()
+        self.past: dict[bytes, float] = {}  # ids of requests that are over, and when they ended; oldest first
+        self.past_ms = past_ms
+
+    def __contains__(self, trace: bytes) -> bool:
+        return trace in self.open or trace in self.past
+
+    def begin(self, trace: bytes) -> None:
+        self.open.add(trace)
+
+    def end(self, trace: bytes, now_ms: float) -> None:
+        self.open.discard(trace)
+        self.past[trace] = now_ms
+        while self.past:
+            oldest = next(iter(self.past))
+            if len(self.past) <= self.MOST_PAST and self.past[oldest] > now_ms - self.past_ms:
+                break
+            del self.past[oldest]
+
+
+@dataclass(slots=True)
+class Shared:
+    """Handed to every pool and listener of a process. `past_ms`: how long an id is known after its end."""
+
+    loop: asyncio.AbstractEventLoop
+    name: str
+    memory_mb: float
+    past_ms: float
+    caller_budget: int  # connections of callers that may be open at once, over all listeners
+    clock: Clock = field(init=False)
+    journal: Journal = field(init=False)
+    room: Room = field(init=False)
+    traces: Traces = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.clock = Clock(self.loop)
+        self.journal = Journal(self.name)
+        self.room = Room(self.memory_mb)
+        self.traces = Traces(self.past_ms)
--- a/larkweir/engine.py
+++ b/larkweir/engine.py
@@ -1,24 +1,19 @@
-"""The engine: owns the balancer, the clock, the timers and the request table. Events go in, actions come out,
-and nothing is decided here: whom to send to, when again, refuse or fail is all the balancer's.
+"""The engine of one pool: owns its balancer and its request table. Events go in, actions come out, and
+nothing is decided here: whom to send to, when again, refuse or fail is all the balancer's.
 """
 
 from __future__ import annotations
 
-import asyncio
-import sys
-import time
 import traceback
 from collections import deque
 from collections.abc import Callable
-from contextlib import suppress
-from heapq import heapify, heappop, heappush
-from math import ceil
-from typing import Any, Protocol
+from dataclasses import dataclass
+from typing import Protocol
 
-from larkweir.config import Config
-from larkweir.discovery import Discovery, Listing
+from larkweir.core.clock import Timer
+from larkweir.core.shared import Shared
 from larkweir.http1 import Headers, Message, encode_request
-from larkweir.room import Room
+from larkweir.sources.discovery import Listing
 from larkweir.upstreams import LOAD_HEADER, Call, Upstreams, report_of
 from mulleinhitch import Balancer
 from mulleinhitch.interface import (
@@ -42,103 +37,12 @@
     Send,
     ServerState,
     SetTimer,
+    Settings,
     TimerFired,
     WatchList,
 )
 
 
-class Timer:
-    __slots__ = ("call", "due_ms")
-
-    def __init__(self, due_ms: float, call: Callable[[], None]) -> None:
-        self.due_ms = due_ms
-        self.call: Callable[[], None] | None = call
-
-    def cancel(self) -> None:
-        self.call = None
-
-
-class Clock:
-    """Unix milliseconds, taken once and carried on by the monotonic clock: a step of the system's time can't
-    turn it back. Its timers fire at their time or after, never before, in the order of their times.
-    """
-
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        self._loop = loop
-        self._offset_ms = time.time() * 1000.0 - time.monotonic() * 1000.0
-        self._heap: list[tuple[float, int, Timer]] = []
-        self._serial = 0
-        self._armed: asyncio.TimerHandle | None = None
-        self._armed_ms = 0.0
-        self._compact_at = 1024
-
-    def now_ms(self) -> float:
-        return self._offset_ms + time.monotonic() * 1000.0
-
-    def after(self, delay_ms: float, call: Callable[[], None]) -> Timer:
-        timer = Timer(self.now_ms() + delay_ms, call)
-        self._serial += 1
-        heappush(self._heap, (timer.due_ms, self._serial, timer))
-        if len(self._heap) > self._compact_at:  # guards against a heap of cancelled timers
-            self._heap = [item for item in self._heap if item[2].call is not None]
-            heapify(self._heap)
-            self._compact_at = max(1024, 2 * len(self._heap))
-        self._arm()
-        return timer
-
-    def _arm(self) -> None:
-        if not self._heap:
-            return
-        due = self._heap[0][0]
-        if self._armed is not None:
-            if self._armed_ms <= due:
-                return
-            self._armed.cancel()
-        self._armed_ms = due
-        # The loop counts whole milliseconds.
-        self._armed = self._loop.call_later(max(0, ceil(due - self.now_ms())) / 1000.0, self._fire)
-
-    def _fire(self) -> None:
-        self._armed = None
-        try:
-            while self._heap and self._heap[0][0] <= self.now_ms():
-                timer = heappop(self._heap)[2]
-                call, timer.call = timer.call, None
-                if call is not None:
-                    call()
-        finally:
-            self._arm()
-
-
-class Journal:
-    """Lines on standard error, few enough that a fault that repeats can't drown the log or the process."""
-
-    PER_SECOND = 10
-
-    def __init__(self, name: str) -> None:
-        self._name = name
-        self._second = 0
-        self._lines = 0
-        self._dropped = 0
-
-    def line(self, text: str) -> None:
-        second = int(time.monotonic())
-        if second != self._second:
-            dropped, self._dropped = self._dropped, 0
-            self._second, self._lines = second, 0
-            if dropped:
-                self._write(f"{dropped} lines dropped")
-        if self._lines >= self.PER_SECOND:
-            self._dropped += 1
-            return
-        self._lines += 1
-        self._write(text)
-
-    def _write(self, text: str) -> None:
-        with suppress(OSError):  # a log that can't be written must not end the balancer
-            print(f"larkweir {self._name}: {text[:2000]}", file=sys.stderr, flush=True)
-
-
 class Decisions(Protocol):
     """What decides: `mulleinhitch.Balancer`."""
 
@@ -170,43 +74,62 @@
         self.timer: Timer | None = None
 
 
+class Source(Protocol):
+    """Where a pool's list comes from."""
+
+    def start(self) -> None: ...
+
+    def stop(self) -> None: ...
+
+    def fetch(self) -> None: ...
+
+    def watch(self, active: bool) -> None: ...
+
+
+SourceMaker = Callable[[Callable[[Listing], None], Callable[[str], None]], Source]
+
+
+@dataclass(slots=True, frozen=True)
+class PoolPlan:
+    """What one pool is run by. `sockets` is the most connections to its servers; `drain_grace_ms` the time
+    from the word that a server drains to the last send that may still go there.
+    """
+
+    settings: Settings
+    seed: int
+    sockets: int
+    drain_grace_ms: float
+    report_names: tuple[str, ...] = ()
+
+
 class Engine:
     PROBE_TIMEOUT_MS = 50.0
-    MOST_PAST = 4096  # ids remembered
 
     def __init__(
-        self, config: Config, loop: asyncio.AbstractEventLoop, decisions: Decisions | None = None
+        self, plan: PoolPlan, shared: Shared, source: SourceMaker, decisions: Decisions | None = None
     ) -> None:
-        settings = config.settings
-        self.config = config
-        self.clock = Clock(loop)
-        self.journal = Journal(config.name)
-        loop.set_exception_handler(self._on_loop_error)
-        # Of the descriptors, what the process itself needs goes first; callers and upstreams share the rest.
-        spare = max(8, config.sockets - 24)
-        self.caller_budget = spare * 9 // 20
-        self.room = Room(config.memory_mb)
+        settings = plan.settings
+        self.plan = plan
+        self.clock = shared.clock
+        self.journal = shared.journal
+        self.room = shared.room
         self.upstreams = Upstreams(
             self.clock,
             self.room,
-            spare // 2,
+            plan.sockets,
             settings.conn_idle_ms,
             settings.connect_timeout_ms,
-            config.drain_grace_ms,
+            plan.drain_grace_ms,
         )
-        self.discovery = Discovery(config, self.on_listing, self.journal.line)
-        self._balancer: Decisions = decisions or Balancer(settings, config.seed)
+        self.source = source(self.on_listing, self.journal.line)
+        self.balancer: Decisions = decisions or Balancer(settings, plan.seed)
         self._exchanges: dict[int, Exchange] = {}
-        self._traces: set[bytes] = set()  # ids of the same
-        self._past: dict[
-            bytes, float
-        ] = {}  # ids of requests that are over, and when they ended; oldest first
-        self._past_ms = 2.0 * max(item.deadline_ms for item in settings.classes)
+        self._traces = shared.traces
         self._next = 1
         self._events: deque[Event] = deque()
         self._busy = False
         reports = settings.report_mode is not ReportMode.OFF
-        self._report_names = config.report_names if reports else ()
+        self._report_names = plan.report_names if reports else ()
         self._inline = reports and settings.report_mode is ReportMode.INLINE
         self._probe_target = b"/status/load" if reports else b"/health"
 
@@ -220,29 +143,8 @@
         """Requests that still wait for their answer."""
         return sum(not exchange.over for exchange in self._exchanges.values())
 
-    def _on_loop_error(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
-        """What no handler caught: one bounded line, and the process goes on."""
-        problem = context.get("exception")
-        frames = "".join(traceback.format_exception(problem, limit=-3)) if problem is not None else ""
-        self.journal.line(f"{context.get('message')} {frames.strip()}".replace("\n", " | "))
-
     # ------------------------------------------------ events in
 
-    def is_known(self, trace: bytes) -> bool:
-        """Whether a request with this id is open here, or was until lately: an id is new with every request,
-        so a copy that comes a moment after the answer must not run either.
-        """
-        return trace in self._traces or trace in self._past
-
-    def _remember(self, trace: bytes) -> None:
-        now = self.clock.now_ms()
-        self._past[trace] = now
-        while self._past:
-            oldest = next(iter(self._past))
-            if len(self._past) <= self.MOST_PAST and self._past[oldest] > now - self._past_ms:
-                break
-            del self._past[oldest]
-
     def arrive(
         self, caller: Caller, message: Message, time_left_ms: float, trace: bytes, event: RequestArrived
     ) -> int:
@@ -252,7 +154,7 @@
         event.request = number
         exchange = Exchange(number, caller, message, self.clock.now_ms() + time_left_ms, trace)
         self._exchanges[number] = exchange
-        self._traces.add(trace)
+        self._traces.begin(trace)
         exchange.timer = self.clock.after(time_left_ms, lambda: self._overdue(exchange))
         self._deliver(event)
         return number
@@ -291,7 +193,7 @@
 
     def _step(self, event: Event) -> None:
         try:
-            for action in self._balancer.handle(self.clock.now_ms(), event):
+            for action in self.balancer.handle(self.clock.now_ms(), event):
                 self._act(action)
         except Exception as problem:
             # Guards the other requests: whatever went wrong with this one, it alone is answered 500.
@@ -329,9 +231,9 @@
         elif isinstance(action, CloseIdle):
             self.upstreams.close_idle(action.server)
         elif isinstance(action, FetchList):
-            self.discovery.fetch()
+            self.source.fetch()
         elif isinstance(action, WatchList):
-            self.discovery.watch(action.active)
+            self.source.watch(action.active)
         elif isinstance(action, Log):
             self.journal.line(action.text)
         else:
@@ -359,8 +261,7 @@
 
     def _forget(self, exchange: Exchange) -> None:
         if exchange.over and not exchange.out and self._exchanges.pop(exchange.number, None) is not None:
-            self._traces.discard(exchange.trace)
-            self._remember(exchange.trace)
+            self._traces.end(exchange.trace, self.clock.now_ms())
 
     def _overdue(self, exchange: Exchange) -> None:
         """The deadline: attempts out end first, then the engine answers what the balancer still owes."""
@@ -383,7 +284,7 @@
         upstream = self.upstreams.table.get(action.server)
         exchange.attempts.append(None)
         exchange.out += 1
-        moot = exchange.over or timeout <= 0.0 or number >= self.config.settings.max_attempts
+        moot = exchange.over or timeout <= 0.0 or number >= self.plan.settings.max_attempts
         if moot or upstream is None:
             self._attempt_ended(exchange, number, action.server, Outcome.MOOT, now, None)
             return
--- a/larkweir/listener.py
+++ b/larkweir/listener.py
@@ -6,61 +6,31 @@
 import errno
 import select
 import socket
-import zlib
 from collections import deque
+from collections.abc import Callable
 from itertools import islice
-from typing import cast
+from typing import Protocol, cast
 
-from larkweir.config import Config
-from larkweir.engine import Engine
+from larkweir.core.address import Address
+from larkweir.core.shared import Shared
 from larkweir.http1 import Fault, FramingError, Headers, Message, RequestReader, encode_response
-from mulleinhitch.interface import Effect, RequestArrived
-
-MAX_TRACE = 128  # bytes of a request's id
-METHODS = frozenset((b"GET", b"POST", b"PUT", b"PATCH", b"DELETE"))
-
-
-class Requests:
-    """Reads a request's headers, by the settings' names."""
-
-    def __init__(self, config: Config) -> None:
-        self._settings = config.settings
-        self._classes = {item.name.encode(): n for n, item in enumerate(config.settings.classes)}
-        self._tenants = {item.name.encode(): n for n, item in enumerate(config.settings.tenants)}
-
-    def read(self, message: Message) -> tuple[RequestArrived, float, bytes]:
-        """The event, the time that is left and the id; FramingError says why it can't be one."""
-        trace = message.value(b"x-trace-id")
-        if not trace or len(trace) > MAX_TRACE:
-            # Upstreams tell requests apart by it, and so does whoever looks for one in the logs.
-            raise FramingError(400, "a request without its id")
-        name = message.value(b"x-qos")
-        index = self._classes.get(name or b"")
-        if index is None:
-            raise FramingError(400, f"unknown class {name!r:.60}")
-        cls = self._settings.classes[index]
-        left = cls.deadline_ms
-        text = message.value(b"x-expires-in-ms")
-        if text is not None:
-            if not text.isdigit() or len(text) > 15:
-                raise FramingError(400, f"unreadable deadline {text!r:.60}")
-            left = min(left, float(text))  # no client waits longer than its class's deadline
-        if cls.effect is Effect.KEYED and not message.value(b"idempotency-key"):
-            # Guards against repeats that the upstreams have no key to drop by.
-            raise FramingError(400, "a keyed request without its key")
-        hint = message.value(b"x-size-hint")
-        key = message.value(b"x-object")
-        event = RequestArrived(
-            request=0,
-            class_index=index,
-            time_left_ms=left,
-            # One that the settings don't name has no share to be over.
-            tenant=self._tenants.get(message.value(b"x-customer") or b"", len(self._tenants)),
-            key=zlib.crc32(key) + 1 if key else 0,
-            expected_ms=int(hint) / 1000.0 if hint and hint.isdigit() and len(hint) < 12 else None,
-            client_retry=message.value(b"x-second-try") == b"1",
-        )
-        return event, left, trace
+
+
+class Front(Protocol):
+    """What a listener hands whole requests to."""
+
+    @property
+    def ready(self) -> bool:
+        """Whether requests can be served."""
+
+    def begin(self, caller: CallerConnection, message: Message) -> Callable[[], None] | None:
+        """Take a request. Its one answer goes to `caller.answer`, now or later; while it is owed, a caller
+        that leaves is told by calling what is returned. FramingError says why it can't be taken.
+        """
+
+
+def _unheard() -> None:
+    """The caller has left before the front has said whom to tell."""
 
 
 def waits(descriptor: int) -> bool:
@@ -82,12 +52,12 @@
 
     def __init__(self, listener: Listener) -> None:
         self._listener = listener
-        self._engine = listener.engine
+        self._shared = listener.shared
         self._transport: asyncio.Transport | None = None
         self._reader = RequestReader(most=self.AHEAD)
         self._waiting: deque[Message] = deque()
         self._current: Message | None = None
-        self._number: int | None = None  # the engine's, of the current request
+        self._gone_call: Callable[[], None] | None = None  # tells that the caller of the current request left
         self._size = 0  # of the requests that wait and the current one
         self._held = 0  # booked of the room that all connections share
         self._blocked = False  # the caller does not read its answers
@@ -96,7 +66,7 @@
         self._stepping = False
         self._continued = False
         self.fresh = True  # no request has come whole
-        self.since_ms = listener.engine.clock.now_ms()  # of what its state is timed from
+        self.since_ms = listener.shared.clock.now_ms()  # of what its state is timed from
 
     # Called by the event loop.
 
@@ -119,7 +89,7 @@
             self._waiting.extend(came)
             self._size += sum(message.size for message in came)
         if not self.fresh and self.begun and (came or not begun):
-            self.since_ms = self._engine.clock.now_ms()  # of the first byte: later ones don't renew it
+            self.since_ms = self._shared.clock.now_ms()  # of the first byte: later ones don't renew it
         if not self._book():
             # Guards the memory limit; what was not begun is let go, and may be asked again elsewhere.
             self._drop_waiting()
@@ -162,7 +132,7 @@
         if self._transport is not None:
             held += self._transport.get_write_buffer_size()
         before, self._held = self._held, held
-        return self._engine.room.book(before, held)
+        return self._shared.room.book(before, held)
 
     def _drop_waiting(self) -> None:
         self._size -= sum(message.size for message in self._waiting)
@@ -209,9 +179,9 @@
 
     def _gone(self) -> None:
         self._drop_waiting()
-        if self._number is not None:
-            number, self._number = self._number, None
-            self._engine.client_gone(number)
+        if self._gone_call is not None:
+            tell, self._gone_call = self._gone_call, None
+            tell()
 
     def _step(self) -> None:
         """Take up the requests that have come, one after the other's answer."""
@@ -239,19 +209,11 @@
             path = message.target.partition(b"?")[0]
             if path == b"/ready":
                 self.answer(200 if self._listener.ready else 503, [], b"")
-            elif path != b"/api":
-                self.answer(404, [], b"")
-            elif message.method not in METHODS:
-                self.answer(405, [(b"Allow", b", ".join(sorted(METHODS)))], b"")
-            else:
-                event, left, trace = self._listener.requests.read(message)
-                if self._engine.is_known(trace):
-                    # Guards the open request: a second under its id could not be told from a copy of it.
-                    raise FramingError(409, "a request with this id is open, or was until lately")
-                self._number = -1
-                number = self._engine.arrive(self, message, left, trace, event)
-                if self._number is not None:  # not answered yet
-                    self._number = number
+                return
+            self._gone_call = _unheard
+            tell = self._listener.front.begin(self, message)
+            if self._gone_call is not None:  # not answered yet
+                self._gone_call = tell
         except FramingError as problem:
             message.keep_alive = False  # whoever sends such a request is not asked for more of them
             self.answer(problem.status, [], str(problem).encode("ascii", "replace") + b"\n")
@@ -269,9 +231,9 @@
         if message is None:
             raise AssertionError("an answer to no request")
         self._current = None
-        self._number = None
+        self._gone_call = None
         self._size -= message.size if self._size else 0
-        self.since_ms = self._engine.clock.now_ms()
+        self.since_ms = self._shared.clock.now_ms()
         close = not message.keep_alive or self._listener.closing
         self._write(encode_response(status, headers, body, close))
         self._book()
@@ -292,7 +254,7 @@
         self._drop_waiting()
         self._reader.close()
         self._book()
-        self.since_ms = self._engine.clock.now_ms()
+        self.since_ms = self._shared.clock.now_ms()
         self._listener.place(self)
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write_eof()
@@ -312,12 +274,13 @@
     LOOK = 32  # connections looked at to make room for one
     SWEEP_MS = 250.0
 
-    def __init__(self, config: Config, engine: Engine) -> None:
-        self.engine = engine
-        self.requests = Requests(config)
+    def __init__(self, address: Address, shared: Shared, front: Front, name: str = "") -> None:
+        self.shared = shared
+        self.front = front
+        self.name = name
         self.closing = False  # every answer is the last of its connection
         self._loop = asyncio.get_running_loop()
-        self._address = config.listen
+        self._address = address
         self._socket: socket.socket | None = None
         self._connections: dict[CallerConnection, None] = {}  # by their accept
         self._fresh: dict[CallerConnection, None] = {}  # of these, without a whole request so far
@@ -328,7 +291,7 @@
 
     @property
     def ready(self) -> bool:
-        return self._socket is not None and not self.closing and self.engine.ready
+        return self._socket is not None and not self.closing and self.front.ready
 
     @property
     def taking(self) -> int:
@@ -343,7 +306,7 @@
         sock.listen(1024)
         self._socket = sock
         self._loop.add_reader(sock, self._accept)
-        self.engine.clock.after(self.SWEEP_MS, self._sweep)
+        self.shared.clock.after(self.SWEEP_MS, self._sweep)
 
     @property
     def port(self) -> int:
@@ -357,7 +320,7 @@
         for _ in range(self.BATCH):
             if self._socket is None:
                 return False
-            if len(self._connections) >= self.engine.caller_budget:
+            if len(self._connections) >= self.shared.caller_budget:
                 if not waits(self._socket.fileno()):
                     return False
                 if not self._make_room():
@@ -437,10 +400,10 @@
         return False
 
     def _sweep(self) -> None:
-        now = self.engine.clock.now_ms()
+        now = self.shared.clock.now_ms()
         for connection in list(self._connections):
             connection.check(now)
-        self.engine.clock.after(self.SWEEP_MS, self._sweep)
+        self.shared.clock.after(self.SWEEP_MS, self._sweep)
 
     def stop_accepting(self) -> None:
         """Close the listening socket, and the connections that wait for nothing."""
--- /dev/null
+++ b/larkweir/sources/__init__.py
@@ -0,0 +1,1 @@
+"""Where lists of servers come from."""
--- a/larkweir/discovery.py
+++ b/larkweir/sources/discovery.py
@@ -5,11 +5,11 @@
 import asyncio
 import json
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 from typing import Any, cast
 
-from larkweir.config import Address, Config, ConfigError, parse_address
+from larkweir.core.address import Address, ConfigError, parse_address
 from larkweir.http1 import Message, ResponseReader, encode_request
 from mulleinhitch.interface import ListKind, ServerEntry, ServerState
 
@@ -17,6 +17,18 @@
 STATES = {"active": ServerState.READY, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
 
 
+@dataclass(slots=True, frozen=True)
+class DiscoveryPlan:
+    """Where discovery is and how it is asked. `known` is a whole list in its form, as last held."""
+
+    address: Address
+    zones: tuple[str, ...] = ()
+    kinds: tuple[str, ...] = ()
+    asked: bool = False  # lists come only when asked for; else they are pushed
+    seed: int = 0
+    known: dict[str, Any] = field(default_factory=dict)
+
+
 class DiscoveryError(Exception):
     """A call to discovery failed, or its answer is none."""
 
@@ -175,15 +187,21 @@
     FIRST_PAUSE_S = 0.05
     LONGEST_PAUSE_S = 1.0
 
-    def __init__(self, config: Config, tell: Callable[[Listing], None], log: Callable[[str], None]) -> None:
-        self._address = config.discovery
-        self._host = f"{config.discovery[0]}:{config.discovery[1]}".encode()
-        self._names = Names(config.zones, config.kinds)
-        self._asked = config.settings.on_request_discovery
-        self._known = config.known
+    def __init__(
+        self,
+        plan: DiscoveryPlan,
+        tell: Callable[[Listing], None],
+        log: Callable[[str], None],
+        names: Names | None = None,
+    ) -> None:
+        self._address = plan.address
+        self._host = f"{plan.address[0]}:{plan.address[1]}".encode()
+        self._names = names or Names(plan.zones, plan.kinds)
+        self._asked = plan.asked
+        self._known = plan.known
         self._tell = tell
         self._log = log
-        self._rng = Random(config.seed)
+        self._rng = Random(plan.seed)
         self._version: int | None = None
         self._connection: _Connection | None = None
         self._watch: asyncio.Task[None] | None = None
--- a/larkweir/upstreams.py
+++ b/larkweir/upstreams.py
@@ -10,16 +10,14 @@
 import select
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, cast
+from typing import cast
 
-from larkweir.config import Address
+from larkweir.core.address import Address
+from larkweir.core.clock import Clock, Timer
+from larkweir.core.room import Room
 from larkweir.http1 import FramingError, Message, ResponseReader
-from larkweir.room import Room
 from mulleinhitch.interface import Outcome, ServerState
 
-if TYPE_CHECKING:
-    from larkweir.engine import Clock, Timer
-
 LOAD_HEADER = b"endpoint-load-metrics"
 NEVER_RAN_HEADER = b"x-never-ran"
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,4 +1,4 @@
-"""Small fakes on loopback sockets: upstreams, discovery, callers; and the balancer's real parts between them.
+"""The balancer's real parts between stand-ins, and a script in place of its decisions.
 
 Ports are the system's choice, and everything waits for events.
 """
@@ -7,19 +7,22 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager, suppress
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
-from itertools import count
 from typing import Any
 
-from larkweir.config import decode
+from larkweir.config.platform import decode
+from larkweir.core.shared import Shared
 from larkweir.engine import Decisions, Engine
 from larkweir.listener import Listener
+from larkweir.single import Single
+from larkweir.sources.discovery import Discovery
 from mulleinhitch.interface import Action, AttemptEnded, Event, Fail, RequestArrived, Send
-
-TRACES = count(1)  # an id is new with every request
-PATIENCE_S = 20.0  # for what must come; a test that passes never waits that long
+from standins.callers import Caller, request_bytes
+from standins.discovery import FakeDiscovery
+from standins.servers import Behaviour, FakeUpstream, Talk, entry, serve_ok
+from standins.wire import PATIENCE_S, Answer, Incoming, ok, read_answer, read_head, status
 
 SETTINGS: dict[str, Any] = {
     "Categories": [
@@ -61,250 +64,6 @@
 }
 
 
-@dataclass
-class Incoming:
-    method: str
-    target: str
-    headers: dict[str, str]
-    body: bytes
-
-
-@dataclass
-class Answer:
-    status: int
-    headers: dict[str, str]
-    body: bytes
-
-
-async def read_head(reader: asyncio.StreamReader) -> tuple[str, dict[str, str]] | None:
-    try:
-        head = await reader.readuntil(b"\r\n\r\n")
-    except (asyncio.IncompleteReadError, ConnectionError):
-        return None
-    first, *rest = head.decode("latin-1").split("\r\n")
-    return first, {k.lower(): v.strip() for k, _, v in (line.partition(":") for line in rest if line)}
-
-
-async def read_answer(reader: asyncio.StreamReader) -> Answer:
-    async with asyncio.timeout(PATIENCE_S):
-        head = await read_head(reader)
-        assert head is not None, "the connection ended without an answer"
-        body = await reader.readexactly(int(head[1].get("content-length", "0")))
-    return Answer(int(head[0].split()[1]), head[1], body)
-
-
-def ok(body: bytes = b"served", extra: str = "") -> bytes:
-    return f"HTTP/1.1 200 OK\r\n{extra}Content-Length: {len(body)}\r\n\r\n".encode() + body
-
-
-def status(code: int, extra: str = "") -> bytes:
-    return f"HTTP/1.1 {code} X\r\n{extra}Content-Length: 0\r\n\r\n".encode()
-
-
-class Talk:
-    """One upstream connection, as the fake's behaviour sees it."""
-
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.reader, self.writer = reader, writer
-
-    async def send(self, data: bytes) -> None:
-        self.writer.write(data)
-        await self.writer.drain()
-
-    def reset(self) -> None:
-        self.writer.transport.abort()
-
-    async def ended(self) -> None:
-        """Until the balancer closes."""
-        with suppress(ConnectionError):
-            await self.reader.read()
-
-
-Behaviour = Callable[[Incoming, Talk], Awaitable[None]]
-
-
-async def serve_ok(request: Incoming, talk: Talk) -> None:
-    await talk.send(ok())
-
-
-class FakeUpstream:
-    def __init__(self, behave: Behaviour = serve_ok) -> None:
-        self.behave = behave
-        self.seen: list[Incoming] = []
-        self.arrived: asyncio.Queue[Incoming] = asyncio.Queue()
-        self.connections = 0
-        self.talks: list[Talk] = []
-        self._tasks: set[asyncio.Task[None]] = set()
-
-    async def start(self) -> FakeUpstream:
-        self._server = await asyncio.start_server(self._talk, "127.0.0.1", 0)
-        self.port = int(self._server.sockets[0].getsockname()[1])
-        return self
-
-    async def _talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.connections += 1
-        talk = Talk(reader, writer)
-        self.talks.append(talk)
-        task = asyncio.current_task()
-        assert task is not None
-        self._tasks.add(task)
-        try:
-            while (head := await read_head(reader)) is not None:
-                body = await reader.readexactly(int(head[1].get("content-length", "0")))
-                method, target, _ = head[0].split()
-                request = Incoming(method, target, head[1], body)
-                self.seen.append(request)
-                self.arrived.put_nowait(request)
-                await self.behave(request, talk)
-        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
-            pass
-        finally:
-            self._tasks.discard(task)
-            writer.close()
-
-    def close(self) -> None:
-        self._server.close()
-        for task in list(self._tasks):
-            task.cancel()
-
-    def entry(self, name: str, **more: Any) -> dict[str, Any]:
-        return entry(name, self.port, **more)
-
-
-def entry(name: str, port: int, **more: Any) -> dict[str, Any]:
-    return {
-        "instanceId": name,
-        "hostPort": f"127.0.0.1:{port}",
-        "zone": "north",
-        "machineType": "box",
-        "cell": 0,
-        "lifecycle": "active",
-        "weight": 1.0,
-        "startedAtMs": 0,
-    } | more
-
-
-class FakeDiscovery:
-    """Keeps whole-list and watch calls apart, and can go down and come back on its port."""
-
-    def __init__(self, entries: list[dict[str, Any]]) -> None:
-        self.generation = 1
-        self.entries = {item["instanceId"]: item for item in entries}
-        self.changes: list[tuple[int, dict[str, Any]]] = []
-        self.calls: asyncio.Queue[str] = asyncio.Queue()
-        self.garbage: list[bytes] = []  # answers given in place of true ones
-        self.delay_s = 0.0  # of a whole list
-        self._changed = asyncio.Event()
-        self._writers: set[asyncio.StreamWriter] = set()
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._server: asyncio.Server | None = None
-        self.port = 0
-
-    async def start(self) -> FakeDiscovery:
-        self._server = await asyncio.start_server(self._talk, "127.0.0.1", self.port)
-        self.port = int(self._server.sockets[0].getsockname()[1])
-        return self
-
-    def stop(self) -> None:
-        if self._server is not None:
-            self._server.close()
-        for writer in list(self._writers):
-            writer.transport.abort()
-        for task in list(self._tasks):
-            task.cancel()
-
-    def change(self, *entries: dict[str, Any]) -> None:
-        self.generation += 1
-        for item in entries:
-            self.entries[item["instanceId"]] = item
-            self.changes.append((self.generation, item))
-        self.wake()
-
-    def wake(self) -> None:
-        """Let the watches that are out look again."""
-        self._changed.set()
-        self._changed = asyncio.Event()
-
-    def whole(self) -> dict[str, Any]:
-        live = [item for item in self.entries.values() if item["lifecycle"] != "left"]
-        return {"generation": self.generation, "reset": True, "instances": live}
-
-    async def _talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        task = asyncio.current_task()
-        assert task is not None
-        self._tasks.add(task)
-        self._writers.add(writer)
-        try:
-            while (head := await read_head(reader)) is not None:
-                target = head[0].split()[1]
-                self.calls.put_nowait(target)
-                if self.garbage:
-                    writer.write(self.garbage.pop(0))
-                    continue
-                if "after=" in target:
-                    after = int(target.partition("after=")[2].partition("&")[0])
-                    while self.generation == after:
-                        await self._changed.wait()
-                    rows = [item for at, item in self.changes if at > after]
-                    data: dict[str, Any] = {"generation": self.generation, "reset": False, "instances": rows}
-                else:
-                    await asyncio.sleep(self.delay_s)
-                    data = self.whole()
-                writer.write(ok(json.dumps(data).encode()))
-        except (ConnectionError, asyncio.CancelledError):
-            pass
-        finally:
-            self._tasks.discard(task)
-            self._writers.discard(writer)
-            writer.close()
-
-
-class Caller:
-    """A caller's connection."""
-
-    def __init__(self, port: int) -> None:
-        self._port = port
-
-    async def __aenter__(self) -> Caller:
-        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self._port)
-        return self
-
-    async def __aexit__(self, *_: object) -> None:
-        self.writer.close()
-
-    def send(self, data: bytes) -> None:
-        self.writer.write(data)
-
-    def ask(self, cls: str = "look", body: bytes = b"", target: str = "/api", **headers: str) -> None:
-        self.send(request_bytes(cls, body, target, **headers))
-
-    async def answer(self) -> Answer:
-        return await read_answer(self.reader)
-
-    async def ended(self) -> bytes:
-        """What still comes until the balancer closes."""
-        async with asyncio.timeout(PATIENCE_S):
-            return await self.reader.read()
-
-
-def request_bytes(cls: str = "look", body: bytes = b"", target: str = "/api", **headers: str) -> bytes:
-    lines = {
-        "Host": "api.internal",
-        "X-Trace-Id": f"9b1f03aa{next(TRACES):08x}",
-        "X-Qos": cls,
-        "X-Customer": "acme",
-        "X-Expires-In-Ms": "8000",
-    }
-    if cls == "post":
-        lines["Idempotency-Key"] = "5c0f6e1a2b3d4c59"
-    lines |= {name.replace("_", "-"): value for name, value in headers.items()}
-    method = "GET" if cls == "look" and not body else "POST"
-    if method == "POST":
-        lines["Content-Length"] = str(len(body))
-    head = "".join(f"{name}: {value}\r\n" for name, value in lines.items())
-    return f"{method} {target} HTTP/1.1\r\n{head}\r\n".encode() + body
-
-
 class Script:
     """Stands in for the decisions: each request's sends go to the given servers in turn, then it fails. Keeps
     every event, so that a test sees just what the decisions would be told.
@@ -349,6 +108,8 @@
     listener: Listener
     discovery: FakeDiscovery
     port: int
+    shared: Shared
+    watch: Discovery
     errors: list[str] = field(default_factory=list)
 
 
@@ -393,17 +154,41 @@
     }
     data = config_data(list(entries), discovery.port, settings=settings, **more)
     config = decode(json.dumps(data), {})
-    engine = Engine(config, asyncio.get_running_loop(), script)
+    single = Single(config, asyncio.get_running_loop(), script)
+    engine, listener = single.engine, single.listener
     engine.upstreams.REST_MS = rest_ms
-    listener = Listener(config, engine)
     listener.start()
-    engine.discovery.start()
+    engine.source.start()
     try:
-        yield Running(engine, listener, discovery, listener.port)
+        yield Running(engine, listener, discovery, listener.port, single.shared, single.discovery)
     finally:
-        engine.discovery.stop()
+        engine.source.stop()
         listener.stop_accepting()
         listener.end_idle()
         engine.upstreams.close()
         discovery.stop()
         await asyncio.sleep(0)
+
+
+__all__ = [
+    "PATIENCE_S",
+    "SETTINGS",
+    "Answer",
+    "Behaviour",
+    "Caller",
+    "FakeDiscovery",
+    "FakeUpstream",
+    "Incoming",
+    "Running",
+    "Script",
+    "Talk",
+    "config_data",
+    "entry",
+    "ok",
+    "read_answer",
+    "read_head",
+    "request_bytes",
+    "running",
+    "serve_ok",
+    "status",
+]
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from larkweir.discovery import DiscoveryError, Names, parse_listing
+from larkweir.sources.discovery import DiscoveryError, Names, parse_listing
 from mulleinhitch.interface import ListKind, ListUpdate, WatchList
 from tests.fakes import PATIENCE_S, SETTINGS, Caller, FakeDiscovery, FakeUpstream, Script, entry, ok, running
 from tests.test_attempts import run
@@ -234,7 +234,7 @@
         async with running(a.entry("a"), script=script) as balancer, Caller(balancer.port) as caller:
             await called(balancer, "after=1")
             balancer.discovery.change(entry("late", 9))  # on its way when the move is made
-            balancer.engine.discovery.move(("127.0.0.1", new.port))
+            balancer.watch.move(("127.0.0.1", new.port))
             caller.ask()
             assert (await caller.answer()).status == 200
             full = await updates(script, ListKind.FULL)
@@ -247,8 +247,8 @@
             assert [item.server for item in change.entries] == [2]
             deltas = [e for e in script.events if isinstance(e, ListUpdate) and e.kind is ListKind.DELTA]
             assert deltas == [change]
-            balancer.engine.discovery.stop()
-            balancer.engine.discovery.move(("127.0.0.1", balancer.discovery.port))  # too late: no call
+            balancer.watch.stop()
+            balancer.watch.move(("127.0.0.1", balancer.discovery.port))  # too late: no call
         while not balancer.discovery.calls.empty():
             assert "after=" in balancer.discovery.calls.get_nowait()
         new.stop()
@@ -296,7 +296,7 @@
         slow = await FakeDiscovery([upstream.entry("late")]).start()
         slow.delay_s = 2.2
         async with running(script=script) as balancer:
-            balancer.engine.discovery.move(("127.0.0.1", slow.port))
+            balancer.watch.move(("127.0.0.1", slow.port))
             listing = await updates(script, ListKind.FULL)
             assert len(listing.entries) == 1
             assert slow.calls.get_nowait() == "/v1/endpoints"
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -333,7 +333,7 @@
         upstream = await FakeUpstream().start()
         limits = {"cores": 1.0, "memory_mb": 192, "sockets": 64}
         async with running(upstream.entry("a"), machine=limits) as balancer:
-            budget = balancer.engine.caller_budget
+            budget = balancer.shared.caller_budget
             callers = []
             for _ in range(budget + 10):
                 caller = await Caller(balancer.port).__aenter__()
@@ -356,7 +356,7 @@
         limits = {"cores": 1.0, "memory_mb": 192, "sockets": 64}
         async with running(upstream.entry("a"), machine=limits) as balancer:
             halves = []
-            for _ in range(balancer.engine.caller_budget):
+            for _ in range(balancer.shared.caller_budget):
                 caller = await Caller(balancer.port).__aenter__()
                 halves.append(caller)
                 caller.send(request_bytes()[:-2])
@@ -427,11 +427,11 @@
                 assert (await bad.answer()).status == 409
             good.ask("move", b"x", X_Trace_Id="ab")
             assert (await good.answer()).status == 200
-            assert not balancer.engine._traces
-            balancer.engine.MOST_PAST = 1
+            assert not balancer.shared.traces.open
+            balancer.shared.traces.MOST_PAST = 1
             good.ask("move", b"x", X_Trace_Id="ac")
             assert (await good.answer()).status == 200
-            assert list(balancer.engine._past) == [b"ac"]
+            assert list(balancer.shared.traces.past) == [b"ac"]
         upstream.close()
         assert [item.headers["x-trace-id"] for item in upstream.seen] == ["aa", "ab", "ac"]
         assert [e.outcome for e in script.ends()] == [Outcome.OK] * 3
@@ -522,7 +522,7 @@
         upstream = await FakeUpstream(held).start()
         limits = {"cores": 1.0, "memory_mb": 192, "sockets": 64}
         async with running(upstream.entry("a"), machine=limits, script=Script([1])) as balancer:
-            listener, budget = balancer.listener, balancer.engine.caller_budget
+            listener, budget = balancer.listener, balancer.shared.caller_budget
             balancer.engine.upstreams._budget = 200
             kept = await Caller(balancer.port).__aenter__()
             kept.ask()
