Own configuration, compiled routes, versions and their transactions, control socket

Need: limits, pools and routes were read once at the start; a change needed a restart or lived through seconds of half-applied state. Change: larkweir/config reads and checks a configuration in full (YAML with lines, pydantic model, references, warnings), compares and merges by key, moves versions as a pure machine and keeps them on disk; larkweir/routing compiles routes; larkweir/service puts a version in force between two requests, shares unchanged pools and hands over what a changed one knows; larkweir/control and the command line work it. The platform's program loads none.

--- a/larkweir/__main__.py
+++ b/larkweir/__main__.py
@@ -1,4 +1,4 @@
-"""Start, signals and exit code of one real balancer."""
+"""Start, signals and exit code of one real balancer; with a verb, the command line of `larkweir.cli`."""
 
 from __future__ import annotations
 
@@ -88,6 +88,10 @@
 
 
 def main() -> int:
+    if len(sys.argv) > 1:  # a verb; what it needs beyond the platform's program is loaded only then
+        from larkweir.cli import main as command
+
+        return command(sys.argv[1:])
     # Until there is something to tell of a new configuration: the default would end the process.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
--- /dev/null
+++ b/larkweir/config/model.py
@@ -0,0 +1,258 @@
+"""The project's own configuration: what its keys are, their units, defaults and bounds.
+
+Every model refuses keys that it does not know. What one key says of another (a route of its pool) is checked
+in `check`. The page for operators is docs/operators/configuration.md.
+"""
+
+from __future__ import annotations
+
+from ipaddress import IPv4Address
+from typing import Annotated, Literal, Self
+
+import re2
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, StringConstraints, model_validator
+
+FORMAT = 1
+
+MAX_POOLS = 1_000
+MAX_ROUTES = 100_000
+MAX_SERVERS = 10_000
+MAX_BODY_BYTES = 64 * 1024
+
+NAME = r"[A-Za-z0-9][A-Za-z0-9_.-]{0,63}"
+Name = Annotated[str, StringConstraints(pattern=rf"^{NAME}$")]
+Milliseconds = Annotated[float, Field(gt=0, le=3_600_000)]
+HeaderName = Annotated[str, StringConstraints(pattern=r"^[A-Za-z0-9!#$%&'*+.^_`|~-]{1,128}$")]
+
+
+def _address(text: str) -> str:
+    host, _, port = text.rpartition(":")
+    try:
+        IPv4Address(host)
+    except ValueError:
+        raise ValueError("an IPv4 address and port is wanted, as 127.0.0.1:8080") from None
+    if not (port.isascii() and port.isdigit() and len(port) <= 5 and int(port) <= 65535):
+        raise ValueError("a port from 0 to 65535 is wanted after the colon")
+    return text
+
+
+def _pattern(text: str) -> str:
+    # RE2's dialect: its matching takes linear time, so no pattern can hold the one core.
+    options = re2.Options()
+    options.log_errors = False
+    options.max_mem = 1 << 20
+    try:
+        re2.compile(text, options)
+    except re2.error as problem:
+        reason = problem.args[0] if problem.args else ""
+        reason = reason.decode("utf-8", "replace") if isinstance(reason, bytes) else str(reason)
+        raise ValueError(f"not a regular expression of RE2: {reason}") from None
+    return text
+
+
+def _path(text: str) -> str:
+    if not text.startswith("/"):
+        raise ValueError("a path starts with /")
+    if "?" in text or "#" in text:
+        raise ValueError("a path is matched without its query; it holds no ? or #")
+    return text
+
+
+AddressText = Annotated[str, AfterValidator(_address)]
+Pattern = Annotated[str, StringConstraints(max_length=1024), AfterValidator(_pattern)]
+PathText = Annotated[str, StringConstraints(max_length=4096), AfterValidator(_path)]
+
+
+class Model(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True, strict=True, hide_input_in_errors=True)
+
+
+class Listener(Model):
+    address: AddressText
+
+
+class Class(Model):
+    """A class of requests: what a repeat would do, and what an answer in time is worth."""
+
+    effect: Literal["safe", "keyed", "unsafe"]
+    aim_ms: Milliseconds
+    deadline_ms: Milliseconds
+    worth: Annotated[float, Field(ge=0, le=1e6)] = 1.0
+    memory_ms: Annotated[float, Field(ge=0, le=3_600_000)] = 0.0
+
+    @model_validator(mode="after")
+    def _aims_before_deadline(self) -> Self:
+        if self.aim_ms > self.deadline_ms:
+            raise ValueError(f"aim_ms {self.aim_ms:g} is past deadline_ms {self.deadline_ms:g}")
+        return self
+
+
+class Tenant(Model):
+    quota_per_s: Annotated[float, Field(ge=0, le=1e9)]
+    fraction: Annotated[float, Field(ge=0, le=1)] = 0.0
+
+
+class Server(Model):
+    address: AddressText
+    state: Literal["ready", "draining"] = "ready"
+    weight: Annotated[float, Field(ge=0, le=1e6)] = 1.0
+
+
+class DiscoverySource(Model):
+    """The platform's discovery. `ask`: lists come only when asked for."""
+
+    discovery: AddressText
+    ask: bool = False
+
+
+class Pool(Model):
+    """Servers that do the same work, and how they are called. Either `servers` or `source`."""
+
+    servers: Annotated[dict[Name, Server], Field(max_length=MAX_SERVERS)] | None = None
+    source: DiscoverySource | None = None
+    max_attempts: Annotated[int, Field(ge=1, le=16)] = 2
+    may_cancel: bool = True
+    second_copies: bool = False
+    max_connections: Annotated[int, Field(ge=1, le=100_000)] = 256
+    connect_timeout_ms: Milliseconds = 250.0
+    idle_ms: Milliseconds = 30_000.0
+    # From the word that a server drains or is gone to the last send that may still go there.
+    drain_grace_ms: Annotated[float, Field(ge=0, le=2_000)] = 2_000.0
+    # A server that a change brings in starts at cold_share of its capacity and is warm after cold_ms.
+    cold_share: Annotated[float, Field(gt=0, le=1)] = 0.1
+    cold_ms: Annotated[float, Field(ge=0, le=3_600_000)] = 30_000.0
+    new_servers: Literal["cold", "warm"] = "cold"
+    copies: Annotated[int, Field(ge=1, le=10_000)] = 1  # balancers that send to these servers
+    # Whether a change that brings this pool is refused while none of its servers can be connected to.
+    require_reachable: bool = True
+
+    @model_validator(mode="after")
+    def _one_origin(self) -> Self:
+        if (self.servers is None) == (self.source is None):
+            raise ValueError("either servers or source is wanted, and not both")
+        return self
+
+
+class PathMatch(Model):
+    exact: PathText | None = None
+    prefix: PathText | None = None  # whole segments: /a matches /a and /a/b, not /ab
+    regex: Pattern | None = None  # of the whole path
+
+    @model_validator(mode="after")
+    def _one_way(self) -> Self:
+        if sum(way is not None for way in (self.exact, self.prefix, self.regex)) != 1:
+            raise ValueError("exactly one of exact, prefix and regex is wanted")
+        return self
+
+
+class HeaderMatch(Model):
+    name: HeaderName
+    exact: str | None = None
+    prefix: str | None = None
+    regex: Pattern | None = None
+    present: bool | None = None
+
+    @model_validator(mode="after")
+    def _one_way(self) -> Self:
+        if sum(way is not None for way in (self.exact, self.prefix, self.regex, self.present)) != 1:
+            raise ValueError("exactly one of exact, prefix, regex and present is wanted")
+        return self
+
+
+class Match(Model):
+    """All that is stated must hold; of a list, one."""
+
+    listeners: Annotated[list[Name], Field(min_length=1)] | None = None
+    # Without port, in any case; *.example.org stands for any name below it.
+    hosts: (
+        Annotated[list[Annotated[str, StringConstraints(min_length=1, max_length=255)]], Field(min_length=1)]
+        | None
+    ) = None
+    path: PathMatch | None = None
+    methods: Annotated[list[Literal["GET", "POST", "PUT", "PATCH", "DELETE"]], Field(min_length=1)] | None = (
+        None
+    )
+    headers: Annotated[list[HeaderMatch], Field(max_length=16)] = []
+    classes: Annotated[list[Name], Field(min_length=1)] | None = None
+
+
+class Part(Model):
+    pool: Name
+    weight: Annotated[int, Field(ge=0, le=1_000_000)]
+
+
+class Weighted(Model):
+    """A split over pools. `by` names the header whose value keeps a caller with one pool; without it each
+    request is drawn.
+    """
+
+    pools: Annotated[list[Part], Field(min_length=1, max_length=64)]
+    by: HeaderName | None = None
+
+    @model_validator(mode="after")
+    def _some_weight(self) -> Self:
+        if not sum(part.weight for part in self.pools):
+            raise ValueError("pools: at least one weight above 0 is wanted")
+        return self
+
+
+class FixedAnswer(Model):
+    status: Annotated[int, Field(ge=200, le=599)]
+    body: Annotated[str, StringConstraints(max_length=MAX_BODY_BYTES)] = ""
+    content_type: Annotated[str, StringConstraints(pattern=r"^[\x21-\x7e]+(; ?[\x21-\x7e]+)*$")] = (
+        "text/plain"
+    )
+
+
+class Target(Model):
+    pool: Name | None = None
+    weighted: Weighted | None = None
+    answer: FixedAnswer | None = None
+
+    @model_validator(mode="after")
+    def _one_way(self) -> Self:
+        if sum(way is not None for way in (self.pool, self.weighted, self.answer)) != 1:
+            raise ValueError("exactly one of pool, weighted and answer is wanted")
+        return self
+
+
+class Route(Model):
+    name: Name
+    match: Match = Match()
+    to: Target
+
+
+class Limits(Model):
+    """Of the process. `sockets`: descriptors for callers and servers together."""
+
+    memory_mb: Annotated[float, Field(ge=16, le=1e6)] = 64.0
+    sockets: Annotated[int, Field(ge=64, le=1_000_000)] = 1024
+
+
+class Watch(Model):
+    """What is looked at after a commit, to take it back by itself. Counted in blocks of `block_ms`."""
+
+    window_ms: Annotated[float, Field(ge=1_000, le=3_600_000)] = 30_000.0
+    before_ms: Annotated[float, Field(ge=1_000, le=3_600_000)] = 60_000.0
+    block_ms: Annotated[float, Field(ge=50, le=60_000)] = 500.0
+    # The odds, over the whole window, of taking back a change that made nothing worse.
+    significance: Annotated[float, Field(gt=0, le=0.2)] = 0.001
+    least_fall: Annotated[float, Field(gt=0, le=1)] = 0.05  # of the worth asked for
+    enabled: bool = True
+
+
+class Configuration(Model):
+    """One whole configuration. `format` is that of the file."""
+
+    format: Literal[1]
+    name: Name = "sandhatch"
+    seed: Annotated[int, Field(ge=0, lt=2**63)] = 0
+    limits: Limits = Limits()
+    watch: Watch = Watch()
+    listeners: Annotated[dict[Name, Listener], Field(min_length=1, max_length=64)]
+    classes: Annotated[dict[Name, Class], Field(min_length=1, max_length=250)]
+    default_class: Name | None = None  # of a request that names none
+    tenants: Annotated[dict[Name, Tenant], Field(max_length=1_000)] = {}
+    pools: Annotated[dict[Name, Pool], Field(max_length=MAX_POOLS)]
+    routes: Annotated[list[Route], Field(max_length=MAX_ROUTES)] = []
+    default: Target = Target(answer=FixedAnswer(status=404))
--- a/larkweir/core/room.py
+++ b/larkweir/core/room.py
@@ -11,8 +11,12 @@
     SHARE = 0.25  # of the memory limit; the rest is the program, its tables, and what the system keeps aside
 
     def __init__(self, memory_mb: float) -> None:
-        self.most = int(memory_mb * 1024 * 1024 * self.SHARE)
         self.used = 0
+        self.set_limit(memory_mb)
+
+    def set_limit(self, memory_mb: float) -> None:
+        """What is held over a lower limit stays; no more is let in until it fits."""
+        self.most = int(memory_mb * 1024 * 1024 * self.SHARE)
 
     def book(self, before: int, now: int) -> bool:
         """One holder's change, booked in any case; whether it may hold that much more."""
--- a/larkweir/core/shared.py
+++ b/larkweir/core/shared.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from larkweir.core.clock import Clock
 from larkweir.core.log import Journal
@@ -38,6 +39,34 @@
             del self.past[oldest]
 
 
+class Descriptors:
+    """The descriptors that all pools' connections to servers may take together."""
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self.holders: dict[Holder, None] = {}
+
+    @property
+    def used(self) -> int:
+        return sum(holder.sockets for holder in self.holders)
+
+    def make_room(self) -> bool:
+        """Whether one more may be taken; idle connections of any pool are closed for it."""
+        if self.used < self.most:
+            return True
+        return any(holder.close_oldest() for holder in self.holders)
+
+
+class Holder(Protocol):
+    """A pool's connections."""
+
+    @property
+    def sockets(self) -> int: ...
+
+    def close_oldest(self) -> bool:
+        """Close the connection that has been idle for longest; False if none is idle."""
+
+
 @dataclass(slots=True)
 class Shared:
     """Handed to every pool and listener of a process. `past_ms`: how long an id is known after its end."""
@@ -47,13 +76,17 @@
     memory_mb: float
     past_ms: float
     caller_budget: int  # connections of callers that may be open at once, over all listeners
+    server_budget: int  # connections to servers, over all pools
     clock: Clock = field(init=False)
     journal: Journal = field(init=False)
     room: Room = field(init=False)
     traces: Traces = field(init=False)
+    descriptors: Descriptors = field(init=False)
+    callers: int = 0  # connections of callers that are open, over all listeners
 
     def __post_init__(self) -> None:
         self.clock = Clock(self.loop)
         self.journal = Journal(self.name)
         self.room = Room(self.memory_mb)
         self.traces = Traces(self.past_ms)
+        self.descriptors = Descriptors(self.server_budget)
--- a/larkweir/engine.py
+++ b/larkweir/engine.py
@@ -7,7 +7,7 @@
 import traceback
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 from larkweir.core.clock import Timer
@@ -35,6 +35,7 @@
     ReportMode,
     RequestArrived,
     Send,
+    ServerEntry,
     ServerState,
     SetTimer,
     Settings,
@@ -58,10 +59,30 @@
 class Exchange:
     """One request, from its arrival until it is answered and its last attempt has ended."""
 
-    __slots__ = ("attempts", "caller", "deadline_ms", "message", "number", "out", "over", "timer", "trace")
+    __slots__ = (
+        "answered_ms",
+        "attempts",
+        "caller",
+        "deadline_ms",
+        "done",
+        "message",
+        "number",
+        "out",
+        "over",
+        "servers",
+        "status",
+        "timer",
+        "trace",
+    )
 
     def __init__(
-        self, number: int, caller: Caller, message: Message, deadline_ms: float, trace: bytes
+        self,
+        number: int,
+        caller: Caller,
+        message: Message,
+        deadline_ms: float,
+        trace: bytes,
+        done: Done | None = None,
     ) -> None:
         self.number = number
         self.caller = caller
@@ -72,6 +93,13 @@
         self.out = 0  # attempts whose end is still owed to the balancer
         self.over = False  # answered, or the client is gone
         self.timer: Timer | None = None
+        self.done = done  # told when it is answered and its last attempt has ended
+        self.servers: list[int] = []  # of its attempts, those never written included
+        self.status = 0  # of its answer; 0 if the client left before
+        self.answered_ms = 0.0
+
+
+Done = Callable[[Exchange], None]
 
 
 class Source(Protocol):
@@ -85,6 +113,9 @@
 
     def watch(self, active: bool) -> None: ...
 
+    def retell(self) -> None:
+        """Tell the whole list as last known, or fetch it."""
+
 
 SourceMaker = Callable[[Callable[[Listing], None], Callable[[str], None]], Source]
 
@@ -116,6 +147,7 @@
         self.upstreams = Upstreams(
             self.clock,
             self.room,
+            shared.descriptors,
             plan.sockets,
             settings.conn_idle_ms,
             settings.connect_timeout_ms,
@@ -126,6 +158,8 @@
         self._exchanges: dict[int, Exchange] = {}
         self._traces = shared.traces
         self._next = 1
+        self._entries: dict[int, ServerEntry] = {}  # as last told
+        self._kept: frozenset[int] | None = None  # servers that may be sent to; None stands for all
         self._events: deque[Event] = deque()
         self._busy = False
         reports = settings.report_mode is not ReportMode.OFF
@@ -138,6 +172,11 @@
         """Whether there is a list that requests can be served from."""
         return any(item.state is ServerState.READY for item in self.upstreams.table.values())
 
+    @property
+    def open(self) -> int:
+        """Requests that are not answered, or have an attempt out."""
+        return len(self._exchanges)
+
     @property
     def owed(self) -> int:
         """Requests that still wait for their answer."""
@@ -146,13 +185,21 @@
     # ------------------------------------------------ events in
 
     def arrive(
-        self, caller: Caller, message: Message, time_left_ms: float, trace: bytes, event: RequestArrived
+        self,
+        caller: Caller,
+        message: Message,
+        time_left_ms: float,
+        trace: bytes,
+        event: RequestArrived,
+        done: Done | None = None,
     ) -> int:
-        """A request has come whole, under an id that is not open; returns its number."""
+        """A request has come whole, under an id that is not open; returns its number. `done` is told once,
+        when it is answered, or its client gone, and none of its attempts is out.
+        """
         number = self._next
         self._next += 1
         event.request = number
-        exchange = Exchange(number, caller, message, self.clock.now_ms() + time_left_ms, trace)
+        exchange = Exchange(number, caller, message, self.clock.now_ms() + time_left_ms, trace, done)
         self._exchanges[number] = exchange
         self._traces.begin(trace)
         exchange.timer = self.clock.after(time_left_ms, lambda: self._overdue(exchange))
@@ -162,11 +209,13 @@
     def client_gone(self, number: int) -> None:
         exchange = self._exchanges.get(number)
         if exchange is not None and not exchange.over:
-            self._close(exchange)
+            self._close(exchange, 0)
             self._deliver(ClientGone(number))
             self._forget(exchange)
 
     def on_listing(self, listing: Listing) -> None:
+        if self._kept is not None:
+            listing = self._narrowed(listing, self._kept)
         whole = listing.kind in (ListKind.FULL, ListKind.CACHED)
         named = {entry.server for entry in listing.entries}
         if whole:
@@ -175,10 +224,44 @@
                     self.upstreams.update(
                         upstream.number, upstream.address, ServerState.GONE, upstream.started_ms
                     )
+            self._entries = {number: row for number, row in self._entries.items() if number in named}
         for entry, address in zip(listing.entries, listing.addresses, strict=True):
+            self._entries[entry.server] = entry
             self.upstreams.update(entry.server, address, entry.state, entry.started_ms)
         self._deliver(ListUpdate(listing.kind, listing.version, listing.entries))
 
+    def withdraw(self, keep: frozenset[int], told_ms: float) -> None:
+        """Nothing new goes to any server but those to keep: another configuration in force since `told_ms`
+        has no other for this pool. What its source still tells is narrowed the same way until `restore`.
+        """
+        self._kept = keep
+        entries = []
+        for upstream in list(self.upstreams.table.values()):
+            if upstream.state is ServerState.READY and upstream.number not in keep:
+                self.upstreams.update(
+                    upstream.number, upstream.address, ServerState.DRAINING, upstream.started_ms
+                )
+                upstream.told_ms = told_ms
+                entries.append(replace(self._entries[upstream.number], state=ServerState.DRAINING))
+        if entries:
+            self._deliver(ListUpdate(ListKind.DELTA, 0, entries))
+
+    @staticmethod
+    def _narrowed(listing: Listing, keep: frozenset[int]) -> Listing:
+        entries = tuple(
+            entry
+            if entry.server in keep or entry.state is not ServerState.READY
+            else replace(entry, state=ServerState.DRAINING)
+            for entry in listing.entries
+        )
+        return replace(listing, entries=entries)
+
+    def restore(self) -> None:
+        """What `withdraw` took counts again: the source tells its whole list anew."""
+        if self._kept is not None:
+            self._kept = None
+            self.source.retell()
+
     def _deliver(self, event: Event) -> None:
         """Hand over an event; one that comes while another is handled waits for its turn."""
         self._events.append(event)
@@ -250,18 +333,23 @@
         """The one final answer; a second is dropped."""
         if exchange.over:
             return
-        self._close(exchange)
+        self._close(exchange, status)
         exchange.caller.answer(status, headers or [], body)
         self._forget(exchange)
 
-    def _close(self, exchange: Exchange) -> None:
+    def _close(self, exchange: Exchange, status: int) -> None:
         exchange.over = True
+        exchange.status = status
+        exchange.answered_ms = self.clock.now_ms()
         if exchange.timer is not None:
             exchange.timer.cancel()
 
     def _forget(self, exchange: Exchange) -> None:
         if exchange.over and not exchange.out and self._exchanges.pop(exchange.number, None) is not None:
             self._traces.end(exchange.trace, self.clock.now_ms())
+            done, exchange.done = exchange.done, None
+            if done is not None:
+                done(exchange)
 
     def _overdue(self, exchange: Exchange) -> None:
         """The deadline: attempts out end first, then the engine answers what the balancer still owes."""
@@ -283,6 +371,7 @@
         timeout = min(left, action.timeout_ms) if action.timeout_ms else left
         upstream = self.upstreams.table.get(action.server)
         exchange.attempts.append(None)
+        exchange.servers.append(action.server)
         exchange.out += 1
         moot = exchange.over or timeout <= 0.0 or number >= self.plan.settings.max_attempts
         if moot or upstream is None:
@@ -314,7 +403,7 @@
         answer: Message | None,
     ) -> None:
         if outcome is Outcome.OK and answer is not None and not exchange.over:
-            self._close(exchange)
+            self._close(exchange, 200)
             headers = [(k, v) for k, v in answer.passed_on() if k.lower() != LOAD_HEADER]
             exchange.caller.answer(200, headers, answer.body)
         exchange.out -= 1
--- a/larkweir/listener.py
+++ b/larkweir/listener.py
@@ -140,6 +140,10 @@
 
     # ------------------------------------------------
 
+    @property
+    def listener_name(self) -> str:
+        return self._listener.name
+
     @property
     def idle(self) -> bool:
         return self._current is None and not self._waiting and not self._blocked
@@ -298,14 +302,25 @@
         """Connections that hold a request, whole or in part, or an answer not yet read."""
         return len(self._arriving) + sum(c.busy for c in self._connections)
 
-    def start(self) -> None:
+    def bind(self) -> None:
+        """Take the address, without listening on it yet; OSError if it can't be had."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.setblocking(False)
-        sock.bind(self._address)
-        sock.listen(1024)
+        try:
+            sock.bind(self._address)
+        except OSError:
+            sock.close()
+            raise
         self._socket = sock
-        self._loop.add_reader(sock, self._accept)
+
+    def start(self) -> None:
+        """Listen and accept; `bind` comes first where it has not been called."""
+        if self._socket is None:
+            self.bind()
+        assert self._socket is not None
+        self._socket.listen(1024)
+        self._loop.add_reader(self._socket, self._accept)
         self.shared.clock.after(self.SWEEP_MS, self._sweep)
 
     @property
@@ -320,7 +335,7 @@
         for _ in range(self.BATCH):
             if self._socket is None:
                 return False
-            if len(self._connections) >= self.shared.caller_budget:
+            if self.shared.callers >= self.shared.caller_budget:
                 if not waits(self._socket.fileno()):
                     return False
                 if not self._make_room():
@@ -340,6 +355,7 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             connection = CallerConnection(self)
             self._connections[connection] = None
+            self.shared.callers += 1
             self._fresh[connection] = None
             task = self._loop.create_task(self._take(sock, connection))
             self._arriving.add(task)
@@ -381,6 +397,8 @@
                 self._idle[connection] = None
 
     def left(self, connection: CallerConnection) -> None:
+        if connection in self._connections:
+            self.shared.callers -= 1
         for table in (self._connections, self._fresh, self._leaving, self._idle):
             table.pop(connection, None)
         if self._paused:
@@ -399,7 +417,19 @@
                     return True
         return False
 
+    def close(self) -> None:
+        """Let the address go and end every connection."""
+        self.stop_accepting()
+        for connection in list(self._connections):
+            connection.abort()
+
+    @property
+    def connections(self) -> int:
+        return len(self._connections)
+
     def _sweep(self) -> None:
+        if self._socket is None and not self._connections:
+            return
         now = self.shared.clock.now_ms()
         for connection in list(self._connections):
             connection.check(now)
--- a/larkweir/requests.py
+++ b/larkweir/requests.py
@@ -14,7 +14,8 @@
 class Requests:
     """Reads a request's headers, by the settings' names."""
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, default_class: str | None = None) -> None:
+        self._default = default_class.encode() if default_class else b""
         self._settings = settings
         self._classes = {item.name.encode(): n for n, item in enumerate(settings.classes)}
         self._tenants = {item.name.encode(): n for n, item in enumerate(settings.tenants)}
@@ -26,7 +27,7 @@
             # Upstreams tell requests apart by it, and so does whoever looks for one in the logs.
             raise FramingError(400, "a request without its id")
         name = message.value(b"x-qos")
-        index = self._classes.get(name or b"")
+        index = self._classes.get(name or self._default)
         if index is None:
             raise FramingError(400, f"unknown class {name!r:.60}")
         cls = self._settings.classes[index]
--- /dev/null
+++ b/larkweir/service/versions.py
@@ -0,0 +1,196 @@
+"""A version while it runs, and the front that every listener hands its requests to.
+
+A request belongs to the version in force when it came whole, until its answer is given and its last attempt
+has ended: its route, pool, servers, limits and classes are that version's. A version is freed once neither
+new requests nor a way back need it and its last request has ended.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+from random import Random
+from uuid import uuid4
+
+from larkweir.config.check import Checked, pool_settings
+from larkweir.config.transactions import Version
+from larkweir.core.shared import Shared
+from larkweir.engine import Exchange
+from larkweir.http1 import FramingError, Message
+from larkweir.listener import CallerConnection
+from larkweir.requests import METHODS, Requests
+from larkweir.routing.table import Answer, Query, Split, Target
+from larkweir.service.pools import RunningPool
+
+
+@dataclass(slots=True, frozen=True)
+class RequestRecord:
+    """What is told of a request once it is over. Times are Unix milliseconds; `status` 0: the client left."""
+
+    version: int
+    route: str
+    pool: str
+    servers: tuple[int, ...]  # of its attempts, in order
+    trace: bytes
+    request_class: str
+    status: int
+    came_ms: float
+    answered_ms: float
+
+
+class RunningVersion:
+    """One version's routes and pools, and how many requests it still has."""
+
+    def __init__(self, version: Version, pools: dict[str, RunningPool]) -> None:
+        self.version = version
+        self.number = version.number
+        self.checked: Checked = version.checked
+        self.pools = pools
+        self.open = 0
+        self.retired = False
+        model = self.checked.model
+        some = next(iter(model.pools.values()), None)
+        # The classes and tenants are the same in every pool.
+        self.requests = Requests(pool_settings(model, some), model.default_class) if some else None
+        self.class_names = list(model.classes)
+        self.slowest_ms = max(item.deadline_ms for item in model.classes.values())
+
+    def query(self, listener: str, message: Message) -> Query:
+        host = (message.value(b"host") or b"").lower()
+        name, colon, port = host.rpartition(b":")
+        if colon and port.isdigit():
+            host = name
+        named = (message.value(b"x-qos") or b"").decode("latin-1")
+        return Query(
+            listener,
+            host,
+            message.target.partition(b"?")[0],
+            message.method,
+            message.headers,
+            named or self.checked.model.default_class or "",
+        )
+
+
+class Front:
+    """Sends each request its way. `current` changes between two requests, never within one."""
+
+    def __init__(self, shared: Shared, seed: int) -> None:
+        self._shared = shared
+        self._rng = Random(seed)
+        self.current: RunningVersion | None = None
+        self.freed: Callable[[RunningVersion], None] = lambda version: None
+        self.came: Callable[[float, str, str, RunningVersion], None] = lambda *what: None
+        self.over: Callable[[RequestRecord, RunningVersion], None] = lambda record, version: None
+
+    @property
+    def ready(self) -> bool:
+        version = self.current
+        return version is not None and all(
+            pool.engine.ready or not pool.spec.require_reachable for pool in version.pools.values()
+        )
+
+    @property
+    def owed(self) -> int:
+        return 0 if self.current is None else self.current.open
+
+    def begin(self, caller: CallerConnection, message: Message) -> Callable[[], None] | None:
+        version = self.current
+        if version is None:
+            raise FramingError(503, "not ready")
+        if message.method not in METHODS:
+            caller.answer(405, [(b"Allow", b", ".join(sorted(METHODS)))], b"")
+            return None
+        query = version.query(caller.listener_name, message)
+        table = version.checked.table
+        route = table.match(query)
+        target: Target = table.default if route is None else route.target
+        name = "default" if route is None else route.name
+        if isinstance(target, Answer):
+            self._answer(caller, message, target, version, name, query)
+            return None
+        pool_name = target if isinstance(target, str) else self._split(target, message)
+        return self._send(caller, message, version, name, version.pools[pool_name])
+
+    def _split(self, split: Split, message: Message) -> str:
+        return split.choose(message.headers, self._rng.random)
+
+    def _answer(
+        self,
+        caller: CallerConnection,
+        message: Message,
+        answer: Answer,
+        version: RunningVersion,
+        route: str,
+        query: Query,
+    ) -> None:
+        now = self._shared.clock.now_ms()
+        caller.answer(answer.status, [(b"Content-Type", answer.content_type)], answer.body)
+        trace = message.values(b"x-trace-id")
+        record = RequestRecord(
+            version.number,
+            route,
+            "",
+            (),
+            trace[0] if trace else b"",
+            query.request_class,
+            answer.status,
+            now,
+            now,
+        )
+        self.over(record, version)
+
+    def _send(
+        self,
+        caller: CallerConnection,
+        message: Message,
+        version: RunningVersion,
+        route: str,
+        pool: RunningPool,
+    ) -> Callable[[], None]:
+        requests = version.requests
+        assert requests is not None  # there is a pool, so there are settings
+        if not message.values(b"x-trace-id"):
+            # Servers and logs tell requests apart by it; one who sends none can't ask for it again either.
+            message.headers.append((b"X-Trace-Id", uuid4().hex.encode()))
+        event, left, trace = requests.read(message)
+        if trace in self._shared.traces:
+            raise FramingError(409, "a request with this id is open, or was until lately")
+        came = self._shared.clock.now_ms()
+        name = version.class_names[event.class_index]
+        version.open += 1
+        self.came(came, name, pool.name, version)
+        done = partial(self._done, version, route, pool.name, name, came)
+        return partial(pool.engine.client_gone, pool.engine.arrive(caller, message, left, trace, event, done))
+
+    def _done(
+        self,
+        version: RunningVersion,
+        route: str,
+        pool: str,
+        request_class: str,
+        came_ms: float,
+        exchange: Exchange,
+    ) -> None:
+        record = RequestRecord(
+            version.number,
+            route,
+            pool,
+            tuple(exchange.servers),
+            exchange.trace,
+            request_class,
+            exchange.status,
+            came_ms,
+            exchange.answered_ms,
+        )
+        version.open -= 1
+        try:
+            self.over(record, version)
+        finally:
+            if version.retired and not version.open:
+                self.freed(version)
+
+    def retire(self, version: RunningVersion) -> None:
+        version.retired = True
+        if not version.open:
+            self.freed(version)
--- a/larkweir/single.py
+++ b/larkweir/single.py
@@ -71,7 +71,7 @@
         spare = max(8, config.sockets - OWN_DESCRIPTORS)
         settings = config.settings
         past_ms = 2.0 * max(item.deadline_ms for item in settings.classes)
-        self.shared = Shared(loop, config.name, config.memory_mb, past_ms, spare * 9 // 20)
+        self.shared = Shared(loop, config.name, config.memory_mb, past_ms, spare * 9 // 20, spare // 2)
         report_loop_errors(loop, self.shared.journal)
         plan = PoolPlan(settings, config.seed, spare // 2, config.drain_grace_ms, config.report_names)
         found = DiscoveryPlan(
--- a/larkweir/sources/discovery.py
+++ b/larkweir/sources/discovery.py
@@ -64,6 +64,10 @@
         self._ids[instance_id] = number  # at the end: heard of last
         return number
 
+    def known(self) -> list[tuple[str, int]]:
+        """Every id and its number."""
+        return list(self._ids.items())
+
     def zone(self, name: str) -> int:
         return self._zones.get(name, max(1, len(self._zones)))
 
@@ -237,6 +241,10 @@
         if self._fetch is None or self._fetch.done():
             self._fetch = asyncio.get_running_loop().create_task(self._fetch_once())
 
+    def retell(self) -> None:
+        """The whole list comes anew."""
+        self.fetch()
+
     def move(self, address: Address) -> None:
         """Go on at another address, with its whole list first. What is held serves until that has come; the
         calls out to the old address end here, so that no late answer of it can count.
--- /dev/null
+++ b/larkweir/sources/static.py
@@ -0,0 +1,46 @@
+"""A list of servers that stands in the configuration. It changes only with a version."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from larkweir.core.address import Address
+from larkweir.sources.discovery import Listing
+from mulleinhitch.interface import ListKind, ServerEntry, ServerState
+
+
+@dataclass(slots=True, frozen=True)
+class StaticServer:
+    number: int
+    address: Address
+    state: ServerState
+    weight: float
+    started_ms: float  # Unix time; 0 stands for long ago
+
+
+class StaticSource:
+    """Tells its list once it is started, and whenever it is asked."""
+
+    def __init__(self, servers: Sequence[StaticServer], tell: Callable[[Listing], None]) -> None:
+        self.servers = tuple(servers)
+        self._tell = tell
+
+    def start(self) -> None:
+        self.retell()
+
+    def retell(self) -> None:
+        entries = tuple(
+            ServerEntry(item.number, item.state, item.started_ms, item.weight) for item in self.servers
+        )
+        addresses = tuple(item.address for item in self.servers)
+        self._tell(Listing(ListKind.FULL, 1, entries, addresses))
+
+    def stop(self) -> None:
+        """Nothing is on its way."""
+
+    def fetch(self) -> None:
+        self.retell()
+
+    def watch(self, active: bool) -> None:
+        """It never changes."""
--- a/larkweir/upstreams.py
+++ b/larkweir/upstreams.py
@@ -15,6 +15,7 @@
 from larkweir.core.address import Address
 from larkweir.core.clock import Clock, Timer
 from larkweir.core.room import Room
+from larkweir.core.shared import Descriptors
 from larkweir.http1 import FramingError, Message, ResponseReader
 from mulleinhitch.interface import Outcome, ServerState
 
@@ -287,6 +288,10 @@
         if self._transport is not None and not self._transport.is_closing():
             self._transport.abort()
 
+    def move(self, pool: Upstreams, upstream: Upstream) -> None:
+        """To another pool's keeping, while it carries no call."""
+        self._pool, self.upstream = pool, upstream
+
 
 class Upstreams:
     """The table of upstreams, the idle connections, and the budget of sockets."""
@@ -307,12 +312,15 @@
         self,
         clock: Clock,
         room: Room,
+        descriptors: Descriptors,
         budget: int,
         idle_ms: float,
         connect_timeout_ms: float,
         grace_ms: float,
     ) -> None:
         self._clock = clock
+        self._descriptors = descriptors
+        descriptors.holders[self] = None
         self.room = room
         self._budget = budget
         # Guards against writing to a connection in the moment the upstream closes it for having stood idle.
@@ -362,7 +370,7 @@
 
     def renew(self, call: Call) -> None:
         """Go on with a call on a new connection."""
-        if self.sockets >= self._budget and not self._close_oldest():
+        if (self.sockets >= self._budget and not self.close_oldest()) or not self._descriptors.make_room():
             call.end(Outcome.CONNECT_FAILED)
             return
         task = asyncio.get_running_loop().create_task(self._connect(call))
@@ -430,7 +438,7 @@
         if self._sweeping:
             self._clock.after(self.SWEEP_MS, self._sweep)
 
-    def _close_oldest(self) -> bool:
+    def close_oldest(self) -> bool:
         idle = [connection for group in self._idle.values() for connection in group]
         if not idle:
             return False
@@ -450,8 +458,31 @@
         if idle and connection in idle:
             idle.remove(connection)
 
+    def hand_over(self, to: Upstreams) -> list[int]:
+        """Give the idle connections to servers that `to` has too, at the same address; their numbers."""
+        given = []
+        for number, idle in list(self._idle.items()):
+            there = to.table.get(number)
+            if there is None or there.state is not ServerState.READY:
+                continue
+            for connection in [one for one in idle if one.address == there.address]:
+                idle.remove(connection)
+                self._open.discard(connection)
+                connection.move(to, there)
+                to.adopt(connection)
+            given.append(number)
+        return given
+
+    def adopt(self, connection: UpstreamConnection) -> None:
+        """Take over an idle connection; it keeps the time since when it is idle."""
+        self._open.add(connection)
+        since = connection.idle_since_ms
+        self.put(connection)
+        connection.idle_since_ms = since
+
     def close(self) -> None:
-        """At the end of the process."""
+        """At the end of the pool."""
+        self._descriptors.holders.pop(self, None)
         for task in list(self._connecting):
             task.cancel()
         for connection in list(self._open):
--- /dev/null
+++ b/tests/config/samples.py
@@ -0,0 +1,46 @@
+"""A small configuration as data, to be changed by tests."""
+
+from __future__ import annotations
+
+import json
+from copy import deepcopy
+from typing import Any
+
+from larkweir.config.check import Checked, check_text
+
+BASE: dict[str, Any] = {
+    "format": 1,
+    "listeners": {"front": {"address": "127.0.0.1:0"}},
+    "classes": {
+        "look": {"effect": "safe", "aim_ms": 2000, "deadline_ms": 8000},
+        "order": {"effect": "unsafe", "aim_ms": 4000, "deadline_ms": 8000, "worth": 5},
+    },
+    "default_class": "look",
+    "pools": {
+        "web": {"servers": {"w1": {"address": "127.0.0.1:9001"}}},
+        "orders": {"servers": {"o1": {"address": "127.0.0.1:9011"}}},
+    },
+    "routes": [
+        {"name": "orders", "match": {"path": {"prefix": "/orders"}}, "to": {"pool": "orders"}},
+    ],
+    "default": {"pool": "web"},
+}
+
+
+def sample(**changes: Any) -> dict[str, Any]:
+    """BASE with changes: `pools__web__max_attempts=3` sets a key inside; a value of None takes it away."""
+    data = deepcopy(BASE)
+    for path, value in changes.items():
+        *above, last = path.split("__")
+        at: Any = data
+        for name in above:
+            at = at[int(name)] if isinstance(at, list) else at.setdefault(name, {})
+        if value is None:
+            del at[last]
+        else:
+            at[last] = value
+    return data
+
+
+def checked(data: dict[str, Any] | None = None) -> Checked:
+    return check_text(json.dumps(data or BASE))
--- /dev/null
+++ b/tests/config/test_diff.py
@@ -0,0 +1,96 @@
+"""Differences by key, what two changes both touch, and three-way merges."""
+
+from __future__ import annotations
+
+from copy import deepcopy
+from random import Random
+from typing import Any
+
+import pytest
+
+from larkweir.config.diff import MergeError, diff, merge, overlap
+from tests.config.samples import BASE, sample
+
+
+def keys(before: Any, after: Any) -> list[str]:
+    return [change.path for change in diff(before, after)]
+
+
+def test_a_change_is_named_by_its_keys() -> None:
+    after = sample(pools__web__max_attempts=3, pools__orders__servers__o1=None)
+    assert keys(BASE, after) == [
+        "pools.orders.servers",
+        "pools.orders.servers.o1.address",
+        "pools.web.max_attempts",
+    ]
+    assert keys(BASE, deepcopy(BASE)) == []
+    assert keys({"a": 1}, {"a": True}) == ["a"]
+
+
+def test_a_route_keeps_its_keys_when_another_is_put_before_it() -> None:
+    after = sample()
+    after["routes"].insert(0, {"name": "first", "to": {"pool": "web"}})
+    assert keys(BASE, after) == ["routes.(order)", "routes.first.to.pool"]
+
+
+def test_changes_of_different_keys_merge() -> None:
+    mine = sample(pools__web__max_attempts=3)
+    mine["routes"].append({"name": "mine", "to": {"pool": "web"}})
+    theirs = sample(pools__orders__max_attempts=4)
+    theirs["routes"].insert(0, {"name": "theirs", "to": {"pool": "web"}})
+    merged = merge(BASE, mine, theirs)
+    assert merged["pools"]["web"]["max_attempts"] == 3
+    assert merged["pools"]["orders"]["max_attempts"] == 4
+    assert [route["name"] for route in merged["routes"]] == ["theirs", "orders", "mine"]
+
+
+def test_the_same_key_changed_twice_is_a_conflict_unless_to_the_same() -> None:
+    mine, theirs = sample(pools__web__max_attempts=3), sample(pools__web__max_attempts=4)
+    with pytest.raises(MergeError) as caught:
+        merge(BASE, mine, theirs)
+    assert caught.value.keys == ["pools.web.max_attempts"]
+    assert merge(BASE, mine, deepcopy(mine)) == mine
+
+
+def test_taking_away_what_another_changes_inside_is_a_conflict() -> None:
+    without = sample(pools__orders=None)
+    inside = sample(pools__orders__servers__o1__address="127.0.0.1:9999")
+    assert overlap(diff(BASE, without), diff(BASE, inside)) == ["pools.orders.servers.o1.address"]
+    emptied = sample(pools__orders__servers={})
+    added = sample(pools__orders__servers__o2={"address": "127.0.0.1:1"})
+    assert overlap(diff(BASE, emptied), diff(BASE, added)) == ["pools.orders.servers"]
+
+
+def _mutate(data: dict[str, Any], rng: Random, names: list[str]) -> dict[str, Any]:
+    data = deepcopy(data)
+    for _ in range(rng.randrange(1, 4)):
+        name = rng.choice(names)
+        if rng.random() < 0.3:
+            data["pools"].pop(name, None)
+        else:
+            data["pools"].setdefault(name, {})["max_attempts"] = rng.randrange(1, 9)
+    return data
+
+
+def test_whatever_merges_holds_both_changes() -> None:
+    """Over many seeds: a merge that succeeds contains each leaf that either side changed."""
+    merged_some = 0
+    for seed in range(300):
+        rng = Random(seed)
+        names = [f"p{n}" for n in range(6)]
+        base = {"pools": {name: {"max_attempts": 1, "copies": 1} for name in names[:4]}}
+        mine, theirs = _mutate(base, rng, names), _mutate(base, rng, names)
+        try:
+            merged = merge(base, mine, theirs)
+        except MergeError:
+            continue
+        merged_some += 1
+        for side in (mine, theirs):
+            for change in diff(base, side):
+                assert change.path not in [c.path for c in diff(side, merged) if c.before == c.after], seed
+                at: Any = merged
+                for part in change.key:
+                    at = at.get(part, "absent") if isinstance(at, dict) else "absent"
+                wanted = "absent" if repr(change.after) == "(absent)" else change.after
+                assert at == wanted, (seed, change)
+    assert merged_some > 50
--- /dev/null
+++ b/tests/config/test_document.py
@@ -0,0 +1,73 @@
+"""YAML into data with lines: what is taken, and what is refused with its line."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from larkweir.config.document import MAX_BYTES, DocumentError, parse, read
+
+
+def test_scalars_follow_the_core_schema() -> None:
+    """Guards names like `no` and times like 22:30, which older YAML turns into something else."""
+    data = parse("a: no\nb: 22:30\nc: 1.5\nd: true\ne: ~\nf: '1'\ng: 0x1f\nh: 1_000\ni: -3\n").data
+    assert data == {
+        "a": "no",
+        "b": "22:30",
+        "c": 1.5,
+        "d": True,
+        "e": None,
+        "f": "1",
+        "g": "0x1f",
+        "h": "1_000",
+        "i": -3,
+    }
+
+
+def test_lines_are_known_for_keys_and_items() -> None:
+    document = parse("pools:\n  web:\n    servers: {}\nroutes:\n  - name: a\n  - name: b\n")
+    assert document.line(("pools", "web", "servers")) == 3
+    assert document.line(("routes", 1, "name")) == 6
+    assert document.line(("pools", "web", "absent")) == 2
+
+
+def test_json_is_taken() -> None:
+    data = {"a": [1, 2.5, "x", None, True], "b": {"c": {}}}
+    assert parse(json.dumps(data)).data == data
+
+
+@pytest.mark.parametrize(
+    ("text", "line", "words"),
+    [
+        ("a: 1\na: 2\n", 2, "twice, first in line 1"),
+        ("a: &x 1\nb: *x\n", 2, "aliases are not taken"),
+        ("a: !!python/object:os.system x\n", 1, "tags are not taken"),
+        ("a: [1, 2\nb: 3\n", 2, "not YAML"),
+        ("a: 1\n---\nb: 2\n", 2, "second document"),
+        ("? [a]\n: 1\n", 1, "plain word"),
+        ("a:\n\t- b\n", 2, "not YAML"),
+        ("[" * 100, 1, "nested more than"),
+        pytest.param("[" * 100_000, 1, "nest", id="a hundred thousand deep"),
+        ("\0", 0, "not YAML"),
+    ],
+)
+def test_what_is_refused_names_its_line(text: str, line: int, words: str) -> None:
+    with pytest.raises(DocumentError) as caught:
+        parse(text, "f.yaml")
+    assert caught.value.problem.line == line
+    assert words in str(caught.value)
+
+
+def test_a_configuration_of_100_mb_is_refused_before_it_is_read(tmp_path) -> None:  # type: ignore[no-untyped-def]
+    path = tmp_path / "large.yaml"
+    with open(path, "wb") as file:
+        file.truncate(100 * 1024 * 1024)
+    with pytest.raises(DocumentError, match=f"104857600 bytes; {MAX_BYTES} at most"):
+        read(str(path))
+
+
+def test_a_bomb_of_aliases_costs_nothing() -> None:
+    lines = ["a0: &a0 [x, x]"] + [f"a{n}: &a{n} [*a{n - 1}, *a{n - 1}]" for n in range(1, 60)]
+    with pytest.raises(DocumentError, match="aliases"):
+        parse("\n".join(lines))
