The running service tested: no mixture of versions, rollback, kills, control socket, watch

Need: the parts of a configuration change had to be shown to work together, under load and through failures. Found and mended on the way: closing a listener that was only bound span for ever on accept; a confirmation was written to disk with the old version as confirmed, so that a kill behind it went back; the old state could name a version whose content was swept; 200 control peers at once overran the socket's backlog.

--- a/larkweir/config/transactions.py
+++ b/larkweir/config/transactions.py
@@ -227,7 +227,9 @@
 
     def record(self) -> Record:
         pending = self.pending
-        lasting = pending is not None and pending.state not in (State.STAGING, *OVER)
+        lasting = pending is not None and pending.state in (State.SAVING, State.IN_FORCE)
+        # What is being confirmed counts as confirmed on disk first: once that is written it is so for good.
+        confirming = pending is not None and pending.state is State.CONFIRMING
         rows = tuple(
             {
                 "version": version.number,
@@ -242,7 +244,8 @@
             for version in self.versions.values()
         )
         number = pending.number if lasting and pending is not None else 0
-        return Record(self.confirmed.number, number, self._next, rows)
+        confirmed = pending if confirming and pending is not None else self.confirmed
+        return Record(confirmed.number, number, self._next, rows)
 
     # -------------------------------------------- proposing
 
--- a/larkweir/control/server.py
+++ b/larkweir/control/server.py
@@ -83,7 +83,7 @@
             raise ControlError(f"{self._path}: {problem.strerror}") from None
         finally:
             os.umask(mask)
-        self._server = await asyncio.start_unix_server(self._talk, sock=sock)
+        self._server = await asyncio.start_unix_server(self._talk, sock=sock, backlog=MOST_PEERS)
 
     async def stop(self) -> None:
         if self._server is not None:
--- a/larkweir/listener.py
+++ b/larkweir/listener.py
@@ -291,11 +291,12 @@
         self._idle: dict[CallerConnection, None] = {}  # between requests, the one idle for longest first
         self._leaving: dict[CallerConnection, None] = {}  # their last answer is given
         self._paused = False
+        self._listening = False
         self._arriving: set[asyncio.Task[None]] = set()
 
     @property
     def ready(self) -> bool:
-        return self._socket is not None and not self.closing and self.front.ready
+        return self._listening and not self.closing and self.front.ready
 
     @property
     def taking(self) -> int:
@@ -320,6 +321,7 @@
             self.bind()
         assert self._socket is not None
         self._socket.listen(1024)
+        self._listening = True
         self._loop.add_reader(self._socket, self._accept)
         self.shared.clock.after(self.SWEEP_MS, self._sweep)
 
@@ -439,9 +441,11 @@
         """Close the listening socket, and the connections that wait for nothing."""
         if self._socket is None:
             return
-        while self._accept():  # what the system has already accepted for us
-            pass
-        self._loop.remove_reader(self._socket)
+        if self._listening:  # one that is only bound has nothing to accept, and says so without end
+            while self._accept():  # what the system has already accepted for us
+                pass
+            self._loop.remove_reader(self._socket)
+            self._listening = False
         self._socket.close()
         self._socket = None
 
--- a/larkweir/service/service.py
+++ b/larkweir/service/service.py
@@ -225,7 +225,7 @@
         rows = list(self.transactions.record().versions)
         numbers = {row["version"] for row in rows}
         before = [row for row in self._rows_before if row["version"] not in numbers]
-        return [*before, *rows][-tx.MOST_RECORDS :]
+        return sorted([*before, *rows], key=lambda row: int(row["version"]))[-tx.MOST_RECORDS :]
 
     async def settled(self, version: Version, over: bool = False) -> Version:
         """Wait until a version is in force or has ended; with `over`, until it has ended."""
@@ -389,7 +389,7 @@
 
     def _queue_save(self, step: int, version: Version | None) -> None:
         record = self.transactions.record()
-        contents = {record.confirmed: self.transactions.confirmed.data}
+        contents = {record.confirmed: self.transactions.versions[record.confirmed].data}
         if version is not None:
             contents[version.number] = version.data
         self._saves.append((step, version, record, contents))
--- /dev/null
+++ b/tests/config/test_yield_watch.py
@@ -0,0 +1,170 @@
+"""The watch after a change: what trips it and what must not, and its test of ranks."""
+
+from __future__ import annotations
+
+from itertools import combinations
+from random import Random
+
+import pytest
+
+from larkweir.config.yield_watch import ALL, Fall, YieldWatch, rank_test
+
+BLOCK = 500.0
+
+
+def exact_by_hand(before: list[float], after: list[float]) -> float:
+    values = [*after, *before]
+    ranks = [sum(v < x for v in values) + (sum(v == x for v in values) + 1) / 2 for x in values]
+    observed = sum(ranks[: len(after)])
+    sums = [sum(choice) for choice in combinations(ranks, len(after))]
+    return sum(total <= observed + 1e-9 for total in sums) / len(sums)
+
+
+def test_the_rank_test_counts_every_way_to_choose() -> None:
+    rng = Random(3)
+    for _ in range(40):
+        before = [rng.choice([0.5, 0.8, 0.9, 1.0]) for _ in range(9)]
+        after = [rng.choice([0.4, 0.8, 1.0]) for _ in range(rng.randrange(1, 5))]
+        assert rank_test(before, after) == pytest.approx(exact_by_hand(before, after))
+
+
+def test_the_normal_approximation_is_near_the_exact_one() -> None:
+    rng = Random(4)
+    before = [rng.random() for _ in range(60)]
+    after = [rng.random() * 0.8 for _ in range(7)]
+    import larkweir.config.yield_watch as module
+
+    ranks = module._doubled_midranks([*after, *before])
+    exact = module._exact(ranks, 7, sum(ranks[:7]))
+    assert rank_test(before, after) == pytest.approx(exact, rel=0.25, abs=0.01)
+    assert rank_test([1.0] * 20, [1.0] * 20) == 1.0
+    assert rank_test([], [1.0]) == 1.0
+
+
+class Run:
+    """Feeds a watch block by block; the yield and the load of each block are the caller's."""
+
+    def __init__(self, seed: int = 1) -> None:
+        self.watch = YieldWatch(BLOCK, 30_000.0)
+        self.rng = Random(seed)
+        self.now = 0.0
+
+    def block(
+        self, in_time: float, requests: int = 20, pool: str = "web", name: str = "order"
+    ) -> Fall | None:
+        for n in range(requests):
+            came = self.now + BLOCK * (n + 0.5) / requests
+            self.watch.came(came, name, pool, 5.0)
+            good = self.rng.random() < in_time
+            self.watch.over(came, name, pool, 5.0, good, not good)
+        self.now += BLOCK
+        return self.watch.close(self.now, 2_000.0)
+
+    def begin(self, **more: frozenset[str]) -> None:
+        self.watch.begin(self.now, 30_000.0, 0.001, 0.05, **more)
+
+
+def noisy(rng: Random) -> float:
+    """A yield that is mostly good, and in one block of six much worse: one burst spoils many requests."""
+    return rng.uniform(0.3, 0.8) if rng.random() < 0.16 else rng.uniform(0.93, 1.0)
+
+
+def test_a_fall_is_found_within_a_few_blocks_and_told() -> None:
+    run = Run()
+    for _ in range(60):
+        assert run.block(noisy(run.rng)) is None
+    run.begin()
+    falls = [run.block(0.4) for _ in range(12)]
+    at = next(n for n, fall in enumerate(falls) if fall)
+    assert at <= 8
+    fall = falls[at]
+    assert fall is not None and fall.name == ALL
+    assert fall.before > 0.85 and fall.after < 0.6 and fall.refused_after > 0.3
+    assert "the yield of all classes fell from 0." in str(fall)
+
+
+def test_a_fall_of_one_class_is_found_though_the_rest_is_well() -> None:
+    run = Run()
+    for after in range(100):
+        if after == 60:
+            run.begin()
+        for n in range(30):
+            came = run.now + BLOCK * (n + 0.5) / 30
+            name = "order" if n % 30 == 0 else "look"
+            run.watch.came(came, name, "web", 1.0)
+            run.watch.over(came, name, "web", 1.0, name == "look" or after < 60, False)
+        run.now += BLOCK
+        fall = run.watch.close(run.now, 2_000.0)
+        if fall:
+            break
+    assert fall is not None and fall.name == "order"
+
+
+def test_two_hundred_good_changes_under_noise_are_left_alone() -> None:
+    """False alarms over whole watches, with bursts that spoil blocks before and after alike."""
+    alarms = 0
+    for seed in range(200):
+        run = Run(seed)
+        for _ in range(60):
+            run.block(noisy(run.rng), run.rng.randrange(5, 30))
+        run.begin()
+        alarms += any(run.block(noisy(run.rng), run.rng.randrange(5, 30)) for _ in range(60))
+    assert alarms == 0
+
+
+def test_a_rise_of_load_that_fills_the_pool_is_no_fall() -> None:
+    """Three times the requests, of which as many as before are served: the change made nothing worse."""
+    run = Run()
+    for _ in range(60):
+        run.block(0.98, 20)
+    run.begin()
+    assert not any(run.block(0.34, 60) for _ in range(40))
+    worse = Run()
+    for _ in range(60):
+        worse.block(0.98, 20)
+    worse.begin()
+    assert any(worse.block(0.1, 60) for _ in range(40))  # more load, and less served than before
+
+
+def test_only_the_pools_that_a_change_touches_are_held_against_it() -> None:
+    run = Run()
+    for _ in range(60):
+        run.block(0.98, 20, "other")
+    run.begin(only_pools=frozenset(["web"]))
+    assert not any(run.block(0.2, 20, "other") for _ in range(40))
+
+
+def test_too_little_before_says_nothing() -> None:
+    run = Run()
+    for _ in range(5):
+        run.block(1.0)
+    run.begin()
+    assert not any(run.block(0.0) for _ in range(20))
+
+
+def test_blocks_wait_for_slow_requests_but_not_past_the_longest_aim() -> None:
+    watch = YieldWatch(BLOCK, 30_000.0)
+    for n in range(40):
+        watch.came(n * BLOCK, "order", "web", 1.0)
+        watch.over(n * BLOCK, "order", "web", 1.0, True, False)
+    watch.close(40 * BLOCK, 2_000.0)
+    watch.begin(40 * BLOCK, 30_000.0, 0.01, 0.05)
+    for n in range(41, 52):  # answers never come
+        for _ in range(20):
+            watch.came(n * BLOCK + 1.0, "order", "web", 1.0)
+    assert watch.close(52 * BLOCK, 10_000_000.0) is None
+    fall = watch.close(52 * BLOCK + 2_000.0, 2_000.0)
+    assert fall is not None and fall.after == 0.0
+    watch.over(45 * BLOCK, "order", "web", 1.0, True, False)  # too late to count
+
+
+def test_after_a_confirmation_what_was_seen_becomes_the_before() -> None:
+    run = Run()
+    for _ in range(60):
+        run.block(1.0)
+    run.begin()
+    for _ in range(60):
+        run.block(0.97)
+    run.watch.end()
+    run.begin()
+    assert not any(run.block(0.97) for _ in range(30))
--- /dev/null
+++ b/tests/control/test_control.py
@@ -0,0 +1,268 @@
+"""The control socket: calls, garbage, stalled peers, crowds; and what the command line makes of the
+answers.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import io
+import json
+import os
+import stat
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+import yaml
+
+from larkweir import cli
+from larkweir.config.transactions import State
+from larkweir.control.framing import CallError, LineReader, encode
+from larkweir.control.server import ControlError, ControlServer
+from standins.callers import Caller
+from tests.service.harness import Farm, Kept, run, serving
+
+
+class Peer:
+    """A connection to the control socket."""
+
+    def __init__(self, path: str) -> None:
+        self._path = path
+
+    async def __aenter__(self) -> Peer:
+        self.reader, self.writer = await asyncio.open_unix_connection(self._path, limit=2**26)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.writer.close()
+
+    async def call(self, op: str, **arguments: Any) -> dict[str, Any]:
+        self.writer.write(encode({"op": op} | arguments))
+        return await self.answer()
+
+    async def answer(self) -> dict[str, Any]:
+        line = await self.reader.readline()
+        assert line, "closed without an answer"
+        answer = json.loads(line)
+        assert isinstance(answer, dict)
+        return answer
+
+
+@asynccontextmanager
+async def controlled(tmp: Path, call_s: float = 10.0) -> AsyncIterator[tuple[Kept, Farm, str]]:
+    farm = await Farm().start("a1", "b1", "o1")
+    async with serving(farm.config(farm.pool("a1"), farm.pool("o1"))) as kept:
+        path = str(tmp / "c.sock")
+        server = ControlServer(kept.service, path, call_s)
+        await server.start()
+        try:
+            yield kept, farm, path
+        finally:
+            await server.stop()
+    farm.close()
+
+
+def change(farm: Farm, **more: Any) -> str:
+    return json.dumps(farm.config(farm.pool("b1", **more), farm.pool("o1")))
+
+
+def test_a_change_by_the_socket(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with (
+            controlled(tmp_path) as (kept, farm, path),
+            Peer(path) as peer,
+            Caller(kept.port) as caller,
+        ):
+            assert stat.S_IMODE(os.stat(path).st_mode) == 0o600
+            proposed = await peer.call("propose", text=change(farm), base=1, comment="to b")
+            assert proposed["ok"] and proposed["changes"] == 2
+            diff = await peer.call("diff", proposal=proposed["proposal"])
+            assert any("b1.address" in line for line in diff["changes"])
+            done = await peer.call("commit", proposal=proposed["proposal"], confirm_within_ms=60_000)
+            assert done["state"] == "in force" and done["confirm_in_ms"] > 50_000
+            caller.ask()
+            assert (await caller.answer()).body == b"b1"
+            status = await peer.call("status")
+            assert (status["in_force"], status["confirmed"], status["pending"]["version"]) == (2, 1, 2)
+            assert (await peer.call("extend", within_ms=90_000))["confirm_in_ms"] > 80_000
+            assert (await peer.call("rollback"))["state"] == "taken back"
+            caller.ask()
+            assert (await caller.answer()).body == b"a1"
+            history = await peer.call("history")
+            assert [row["state"] for row in history["versions"]] == ["confirmed", "taken back"]
+            shown = yaml.safe_load((await peer.call("show"))["text"])
+            assert list(shown["pools"]["web"]["servers"]) == ["a1"]
+
+    run(work())
+
+
+@pytest.mark.parametrize(
+    "call",
+    [
+        {},
+        {"op": 5},
+        {"op": "reboot"},
+        {"op": "status", "extra": 1},
+        {"op": "propose"},
+        {"op": "propose", "text": 5},
+        {"op": "propose", "text": "a: [", "base": 1},
+        {"op": "propose", "text": "{}", "base": True},
+        {"op": "propose", "text": "{}", "base": 99},
+        {"op": "commit", "proposal": 99},
+        {"op": "commit", "proposal": "1"},
+        {"op": "commit", "proposal": 1, "confirm_within_ms": -1},
+        {"op": "commit", "proposal": 1, "confirm_within_ms": 1e300},
+        {"op": "confirm"},
+        {"op": "extend"},
+        {"op": "rollback"},
+        {"op": "rollback", "to": 44},
+        {"op": "abort", "proposal": 1},
+        {"op": "show", "version": 12},
+        {"op": "diff"},
+        {"op": "check", "text": "x"},
+    ],
+)
+def test_calls_that_cannot_be_carried_out_are_told_why(tmp_path: Path, call: dict[str, Any]) -> None:
+    async def work() -> None:
+        async with controlled(tmp_path) as (kept, _, path), Peer(path) as peer:
+            peer.writer.write(encode(call))
+            answer = await peer.answer()
+            assert answer["ok"] is False and answer["text"] and answer["why"] != "internal"
+            assert (await peer.call("status"))["ok"]  # the connection goes on
+            assert kept.service.transactions.in_force.number == 1
+
+    run(work())
+
+
+@pytest.mark.parametrize(
+    "garbage", [b"GET / HTTP/1.1\r\n\r\n", b"\x00\xff\n", b"[1]\n", b"5\n", b"[" * 9999 + b"\n"]
+)
+def test_garbage_is_answered_and_the_peer_let_go(tmp_path: Path, garbage: bytes) -> None:
+    async def work() -> None:
+        async with controlled(tmp_path) as (_, _, path), Peer(path) as peer:
+            peer.writer.write(garbage)
+            answer = await peer.answer()
+            assert answer["ok"] is False and answer["why"] == "invalid"
+            assert await peer.reader.read() == b""
+
+    run(work())
+
+
+def test_a_stalled_peer_is_let_go_and_holds_nobody_up(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with (
+            controlled(tmp_path, call_s=0.2) as (_, _, path),
+            Peer(path) as stalled,
+            Peer(path) as peer,
+        ):
+            stalled.writer.write(b'{"op": "status"')
+            assert (await peer.call("status"))["ok"]
+            assert await stalled.reader.read() == b""
+
+    run(work())
+
+
+def test_a_call_that_is_too_long_is_refused_without_being_held() -> None:
+    reader = LineReader(1000)
+    with pytest.raises(CallError, match="more than 1000 bytes"):
+        for _ in range(20):
+            reader.feed(b"x" * 100)
+    assert reader.held == 0
+    assert LineReader().feed(b'{"a":1}\n{"b":2}\n{"c"') == [{"a": 1}, {"b": 2}]
+
+
+def test_two_hundred_clients_at_once_have_one_winner(tmp_path: Path) -> None:
+    """Each on a connection of its own proposes another value for one key and commits at once."""
+
+    async def work() -> None:
+        async with controlled(tmp_path) as (kept, farm, path):
+
+            async def one(n: int) -> dict[str, Any]:
+                async with Peer(path) as peer:
+                    proposed = await peer.call("propose", text=change(farm, max_connections=50 + n), base=1)
+                    if not proposed["ok"]:
+                        return proposed
+                    return await peer.call("commit", proposal=proposed["proposal"], wait=True)
+
+            answers = await asyncio.gather(*(one(n) for n in range(200)))
+            won = [n for n, answer in enumerate(answers) if answer["ok"]]
+            assert len(won) == 1 and answers[won[0]]["state"] == "confirmed"
+            for answer in answers:
+                if not answer["ok"]:
+                    assert answer["why"] == "conflict"
+                    assert "pools.web.max_connections" in answer["keys"]
+            data = kept.service.transactions.in_force.data
+            assert data["pools"]["web"]["max_connections"] == 50 + won[0]
+            assert kept.service.transactions.in_force.number == 2
+
+    run(work())
+
+
+def test_a_socket_in_use_or_another_file_is_left_alone(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with controlled(tmp_path) as (kept, _, path):
+            with pytest.raises(ControlError, match="another process listens"):
+                await ControlServer(kept.service, path).start()
+            (tmp_path / "file").write_text("mine")
+            with pytest.raises(ControlError, match="another file"):
+                await ControlServer(kept.service, str(tmp_path / "file")).start()
+            assert (tmp_path / "file").read_text() == "mine"
+        assert not os.path.exists(path)
+
+    run(work())
+
+
+# ------------------------------------------------ the command line
+
+
+def command(*arguments: str) -> tuple[int, str, str]:
+    out, err = io.StringIO(), io.StringIO()
+    code = cli.main(arguments, out, err)
+    return code, out.getvalue(), err.getvalue()
+
+
+def test_check_tells_every_problem_and_its_exit_code(tmp_path: Path) -> None:
+    good = Path(__file__).parent.parent.parent / "deploy" / "own-example.yaml"
+    assert command("check", str(good))[0] == 0
+    bad = tmp_path / "bad.yaml"
+    bad.write_text("format: 1\npools: 5\n")
+    code, _, err = command("check", str(bad))
+    assert code == 1 and f"{bad}:2: pools: 5: a mapping is wanted" in err and "classes: this key" in err
+    code, out, _ = command("check", "--json", str(bad))
+    assert code == 1 and json.loads(out)["problems"][0]["line"] in (0, 2)
+    assert command("check", str(tmp_path / "none"))[0] == 1
+    assert command("nonsense")[0] == 2
+    assert command("status", "--control", str(tmp_path / "no.sock"))[0] == 3
+
+
+def test_the_verbs_and_their_exit_codes(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with controlled(tmp_path) as (kept, farm, path):
+
+            async def do(*arguments: str) -> tuple[int, str, str]:
+                verb, *rest = arguments
+                return await asyncio.to_thread(command, verb, "--control", path, *rest)
+
+            one, two = tmp_path / "one.yaml", tmp_path / "two.yaml"
+            one.write_text(change(farm, max_attempts=3))
+            two.write_text(change(farm, max_attempts=4))
+            assert (await do("propose", str(one), "--base", "1"))[1].startswith("proposal 1: 3 keys")
+            assert (await do("propose", str(two), "--base", "1"))[0] == 0
+            assert "max_attempts" in (await do("diff", "--proposal", "1"))[1]
+            code, out, _ = await do("commit", "1", "--confirm-within", "60")
+            assert code == 0 and "version 2: in force" in out and "taken back unless confirmed" in out
+            code, _, err = await do("commit", "2")
+            assert code == 4 and "pools.web.max_attempts" in err
+            assert (await do("status"))[1].startswith("sandhatch: version 2 in force, 1 confirmed")
+            assert (await do("confirm"))[:2] == (0, "version 2: confirmed\n")
+            assert (await do("rollback"))[0] == 0
+            await kept.until(lambda: kept.service.transactions.in_force.number == 3)
+            assert "confirmed" in (await do("history"))[1]
+            assert json.loads((await do("status", "--json"))[1])["in_force"] == 3
+            assert (await do("abort", "2"))[0] == 0 and (await do("abort", "2"))[0] == 1
+            assert "web:" in (await do("show"))[1]
+            assert kept.service.transactions.versions[3].state is State.CONFIRMED
+
+    run(work())
--- /dev/null
+++ b/tests/service/test_program.py
@@ -0,0 +1,217 @@
+"""`larkweir serve` as a process: killed at every step of a change, and SIGHUP, SIGTERM and a commit at
+once.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from larkweir.config.history import History
+from larkweir.control.framing import encode
+from standins.callers import Caller
+from standins.load import Load
+from standins.wire import PATIENCE_S
+from tests.service.harness import Farm, run
+from tests.test_process import free_port
+
+ROOT = Path(__file__).parent.parent.parent
+
+
+class Program:
+    def __init__(self, tmp: Path, port: int) -> None:
+        self.tmp = tmp
+        self.port = port
+        self.file = tmp / "own.yaml"
+        self.state = tmp / "state"
+        self.control = str(tmp / "c.sock")
+        self.process: asyncio.subprocess.Process | None = None
+
+    async def start(self, **env: str) -> None:
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "larkweir",
+            "serve",
+            str(self.file),
+            "--control",
+            self.control,
+            "--state",
+            str(self.state),
+            cwd=ROOT,
+            env=dict(os.environ) | env,
+            stderr=asyncio.subprocess.DEVNULL,
+        )
+        async with asyncio.timeout(PATIENCE_S):
+            while True:
+                try:
+                    if (await self.call("status"))["ok"]:
+                        return
+                except (OSError, ValueError):
+                    await asyncio.sleep(0.02)
+
+    async def call(self, op: str, **arguments: Any) -> dict[str, Any]:
+        reader, writer = await asyncio.open_unix_connection(self.control)
+        try:
+            writer.write(encode({"op": op} | arguments))
+            answer = json.loads(await reader.readline())
+            assert isinstance(answer, dict)
+            return answer
+        finally:
+            writer.close()
+
+    async def kill(self) -> None:
+        assert self.process is not None
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+
+
+@asynccontextmanager
+async def programmed(tmp: Path) -> AsyncIterator[tuple[Program, Farm, dict[str, Any]]]:
+    farm = await Farm().start("a1", "b1", "o1")
+    port = free_port()
+    first = farm.config(farm.pool("a1"), farm.pool("o1"))
+    first["listeners"]["front"]["address"] = f"127.0.0.1:{port}"
+    program = Program(tmp, port)
+    program.file.write_text(json.dumps(first))
+    try:
+        yield program, farm, first
+    finally:
+        if program.process is not None:
+            await program.kill()
+        farm.close()
+
+
+def to_b(first: dict[str, Any], farm: Farm) -> dict[str, Any]:
+    return first | {"pools": {"web": farm.pool("b1"), "orders": farm.pool("o1")}}
+
+
+async def serves(port: int) -> bytes:
+    async with Caller(port) as caller:
+        caller.ask()
+        return (await caller.answer()).body
+
+
+@pytest.mark.parametrize("step", ["propose", "commit", "in force", "confirm", "rollback"])
+def test_a_kill_at_every_step_leaves_one_whole_version_in_force(tmp_path: Path, step: str) -> None:
+    """SIGKILL right behind each call; what serves after the restart is the version that was confirmed."""
+
+    async def work() -> None:
+        async with programmed(tmp_path) as (program, farm, first):
+            await program.start()
+            assert await serves(program.port) == b"a1"
+            proposed = await program.call("propose", text=json.dumps(to_b(first, farm)))
+            expected = {b"a1"}
+            if step == "commit":  # at whatever point staging, saving and applying have reached by then
+                call = asyncio.create_task(program.call("commit", proposal=1, confirm_within_ms=60_000))
+                await asyncio.sleep(0.005)
+                await program.kill()
+                await asyncio.gather(call, return_exceptions=True)
+            elif step != "propose":
+                done = await program.call("commit", proposal=proposed["proposal"], confirm_within_ms=60_000)
+                assert done["state"] == "in force" and await serves(program.port) == b"b1"
+                if step == "confirm":
+                    assert (await program.call("confirm"))["state"] == "confirmed"
+                    expected = {b"b1"}
+                elif step == "rollback":
+                    assert (await program.call("rollback"))["state"] == "taken back"
+            await program.kill()
+            await program.start()
+            assert {await serves(program.port) for _ in range(5)} == expected
+            history = (await program.call("history"))["versions"]
+            if step == "in force":
+                assert history[-1]["state"] == "lost"
+            status = await program.call("status")
+            assert status["in_force"] == status["confirmed"] and status["pending"] is None
+
+    run(work())
+
+
+def test_a_version_that_crashed_the_process_is_not_used_at_the_next_start(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with programmed(tmp_path) as (program, farm, first):
+            await program.start()
+            await program.call("propose", text=json.dumps(to_b(first, farm)))
+            await program.call("commit", proposal=1, confirm_within_ms=60_000)
+            await program.kill()
+            history = History(str(program.state))
+            saved = history.load()
+            history.close()
+            assert saved is not None and (saved.confirmed, saved.lost) == (1, 2)
+            await program.start()
+            # Its number is not given to another.
+            await program.call("propose", text=json.dumps(to_b(first, farm)))
+            assert (await program.call("commit", proposal=1))["version"] == 3
+
+    run(work())
+
+
+def test_sighup_sigterm_and_a_commit_at_once(tmp_path: Path) -> None:
+    """Under load: whatever is taken is answered, and the process ends by itself with 0."""
+
+    async def work() -> None:
+        async with programmed(tmp_path) as (program, farm, first):
+            await program.start()
+            load = Load(program.port, farm.books, lambda rng: ("look", "/"), callers=4, pause_s=0.002)
+            assert program.process is not None
+            program.file.write_text(json.dumps(first | {"name": "renamed"}))
+            await program.call("propose", text=json.dumps(to_b(first, farm)))
+            commit = asyncio.create_task(program.call("commit", proposal=1, confirm_within_ms=60_000))
+            program.process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0)
+            program.process.send_signal(signal.SIGTERM)
+            async with asyncio.timeout(PATIENCE_S):
+                assert await program.process.wait() == 0
+            load._stopping.set()
+            await asyncio.gather(*load._tasks, commit, return_exceptions=True)
+            assert set(farm.books.statuses()) == {200}
+            taken = [entry for entry in farm.books.entries.values() if entry.ran]
+            assert taken and all(len(entry.answers) == 1 for entry in taken)
+
+    run(work())
+
+
+def test_sighup_applies_the_file_and_a_broken_one_changes_nothing(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with programmed(tmp_path) as (program, farm, first):
+            await program.start()
+            assert program.process is not None
+            program.file.write_text("format: [")
+            program.process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.1)
+            assert await serves(program.port) == b"a1"
+            program.file.write_text(json.dumps(to_b(first, farm)))
+            async with asyncio.timeout(PATIENCE_S):
+                while await serves(program.port) != b"b1":
+                    program.process.send_signal(signal.SIGHUP)
+                    await asyncio.sleep(0.05)
+            assert (await program.call("history"))["versions"][-1]["author"] == "SIGHUP"
+
+    run(work())
+
+
+def test_without_a_verb_nothing_of_the_extras_is_loaded() -> None:
+    """Guards the platform's start: its program must run where only requirements.txt is installed."""
+
+    async def work() -> None:
+        code = (
+            "import sys; import larkweir.__main__; "
+            "print([m for m in ('pydantic', 'yaml', 're2') if m in sys.modules])"
+        )
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-c", code, cwd=ROOT, stdout=asyncio.subprocess.PIPE
+        )
+        out, _ = await process.communicate()
+        assert out == b"[]\n"
+
+    run(work())
