--- a/larkweir/config/diff.py
+++ b/larkweir/config/diff.py
@@ -1,6 +1,6 @@
 """Two configurations compared key by key, and three merged. Pure.
 
-A configuration is flattened to its leaves: `("pools", "web", "max_attempts")` and its value. A list of
+A configuration is taken as its leaves: `("pools", "web", "max_attempts")` and its value. A list of
 mappings that have a `name` is flattened by the names, with its order as one leaf more, so that a route keeps
 its key when another is put before it. Any other list is one leaf.
 """
@@ -47,11 +47,6 @@
     )
 
 
-def flatten(data: Any) -> dict[Key, Any]:
-    """The leaves; an empty mapping is a leaf of its own."""
-    return dict(_leaves((), data))
-
-
 def _leaves(key: Key, value: Any) -> Iterator[tuple[Key, Any]]:
     if isinstance(value, dict) and (value or not key):
         for name, item in value.items():
@@ -59,17 +54,40 @@
     elif _named(value):
         yield (*key, ORDER), [item["name"] for item in value]
         for item in value:
-            yield from _leaves((*key, item["name"]), {k: v for k, v in item.items() if k != "name"})
+            yield from _leaves((*key, item["name"]), _unnamed(item))
     else:
         yield key, value
 
 
 def diff(before: Any, after: Any) -> list[Change]:
-    """The leaves that differ, by key."""
-    old, new = flatten(before), flatten(after)
-    keys = sorted(old.keys() | new.keys())
-    found = (Change(key, old.get(key, ABSENT), new.get(key, ABSENT)) for key in keys)
-    return [change for change in found if not _same(change.before, change.after)]
+    """The leaves that differ, by key. Parts that are equal cost a comparison and are not walked through."""
+    found: list[Change] = []
+    _compare((), before, after, found)
+    return sorted(found, key=lambda change: change.key)
+
+
+def _compare(key: Key, before: Any, after: Any, found: list[Change]) -> None:
+    if before == after:
+        return
+    if isinstance(before, dict) and isinstance(after, dict) and ((before and after) or not key):
+        for name in before.keys() | after.keys():
+            _compare((*key, name), before.get(name, ABSENT), after.get(name, ABSENT), found)
+    elif _named(before) and _named(after):
+        old, new = ({item["name"]: item for item in side} for side in (before, after))
+        if list(old) != list(new):
+            found.append(Change((*key, ORDER), list(old), list(new)))
+        for name in old.keys() | new.keys():
+            _compare((*key, name), _unnamed(old.get(name, ABSENT)), _unnamed(new.get(name, ABSENT)), found)
+    else:
+        gone, come = (dict(_leaves(key, side)) if side is not ABSENT else {} for side in (before, after))
+        for leaf in gone.keys() | come.keys():
+            change = Change(leaf, gone.get(leaf, ABSENT), come.get(leaf, ABSENT))
+            if not _same(change.before, change.after):
+                found.append(change)
+
+
+def _unnamed(item: Any) -> Any:
+    return item if item is ABSENT else {key: value for key, value in item.items() if key != "name"}
 
 
 def _same(one: Any, other: Any) -> bool:
@@ -95,13 +113,6 @@
     return [dotted(key) for key in sorted(found)]
 
 
-def section(data: Any, *path: str) -> Any:
-    """A part of a configuration, None if it is not there."""
-    for name in path:
-        data = data.get(name) if isinstance(data, dict) else None
-    return data
-
-
 class MergeError(ValueError):
     """Two changes of one base do not fit together; `keys` are those that both touch."""
 
--- a/larkweir/control/calls.py
+++ b/larkweir/control/calls.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 import yaml
 
-from larkweir.config.check import CheckError, check_text
+from larkweir.config.check import Checked, CheckError, check_text
 from larkweir.config.diff import diff
 from larkweir.config.transactions import Refusal, RefusedError, Version
 from larkweir.service.service import Service
@@ -43,6 +44,16 @@
         )
 
 
+async def _checked(call: dict[str, Any]) -> Checked:
+    """The call's text, checked in full on a thread: requests don't wait for a long file to be checked."""
+    text = _argument(call, "text", str).encode()
+    try:
+        return await asyncio.to_thread(check_text, text)
+    except CheckError as failure:
+        problems = [str(problem) for problem in failure.problems]
+        raise RefusedError(Refusal.INVALID, f"{len(problems)} problems", problems=problems) from None
+
+
 def version_row(version: Version, now_ms: float) -> dict[str, Any]:
     """A version for people and scripts. Times left in milliseconds."""
     row: dict[str, Any] = {
@@ -106,21 +117,16 @@
             }
 
     async def _check(self, call: dict[str, Any], author: str) -> dict[str, Any]:
-        try:
-            checked = check_text(_argument(call, "text", str).encode())
-        except CheckError as failure:
-            problems = [str(problem) for problem in failure.problems]
-            raise RefusedError(Refusal.INVALID, f"{len(problems)} problems", problems=problems) from None
+        checked = await _checked(call)
         return {"warnings": [str(problem) for problem in checked.warnings]}
 
     async def _propose(self, call: dict[str, Any], author: str) -> dict[str, Any]:
-        proposal = self._service.propose(
-            _argument(call, "text", str).encode(),
-            _argument(call, "base", int, None),
-            author,
-            _argument(call, "comment", str, "")[:MOST_TEXT],
-            _argument(call, "merge", bool, False),
-        )
+        base = _argument(call, "base", int, None)
+        comment = _argument(call, "comment", str, "")[:MOST_TEXT]
+        merge = _argument(call, "merge", bool, False)
+        checked = await _checked(call)
+        size = len(call["text"])
+        proposal = self._service.propose_checked(checked, base, author, comment, merge, size)
         before = self._service.transactions.versions[proposal.base].data
         return {
             "proposal": proposal.number,
@@ -133,11 +139,7 @@
         transactions = self._service.transactions
         before = self._data(_argument(call, "before", int, transactions.in_force.number))
         if "text" in call:
-            try:
-                after = check_text(_argument(call, "text", str).encode()).data
-            except CheckError as failure:
-                problems = [str(problem) for problem in failure.problems]
-                raise RefusedError(Refusal.INVALID, f"{len(problems)} problems", problems=problems) from None
+            after = (await _checked(call)).data
         elif "proposal" in call:
             proposal = transactions.proposals.get(_argument(call, "proposal", int))
             if proposal is None:
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,58 @@
+"""What the platform tells a balancer at its start: settings and the configuration file."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from standins.servers import entry as entry
+
+SETTINGS: dict[str, Any] = {
+    "Categories": [
+        {"Name": "look", "Effect": "read_like", "AimMs": 5000, "HardLimitMs": 8000, "Group": "all"},
+        {
+            "Name": "post",
+            "Effect": "idempotency_key",
+            "AimMs": 5000,
+            "HardLimitMs": 8000,
+            "Group": "zone",
+            "MemorySpanMs": 4000,
+            "Worth": 8,
+        },
+        {"Name": "move", "Effect": "non_idempotent", "AimMs": 5000, "HardLimitMs": 8000, "Worth": 8},
+    ],
+    "Tenants": [{"Name": "acme", "QuotaPerS": 1000, "Fraction": 1.0}],
+    "Zones": ["north", "south"],
+    "MachineTypes": ["box"],
+    "Tiers": ["front"],
+    "Discovery": "pushed",
+    "Guarantees": {
+        "AnswerSlackMs": 5,
+        "ColdShare": 0.3,
+        "ColdMs": 9000,
+        "DrainGraceMs": 500,
+        "FallMultiple": 3,
+        "FallMs": 1000,
+    },
+    "PolicyLimits": {
+        "SendCap": 4,
+        "MayCancel": True,
+        "SecondCopies": True,
+        "ConnIdleMs": 60000,
+        "ConnectTimeoutMs": 2000,
+        "RetryAfter": True,
+        "MaxRetryAfterMs": 2000,
+    },
+    "Stats": {"How": "off", "Fields": []},
+}
+
+
+def config_data(entries: list[dict[str, Any]], discovery_port: int, **more: Any) -> dict[str, Any]:
+    return {
+        "name": "n1",
+        "listen": "127.0.0.1:0",
+        "discovery": f"127.0.0.1:{discovery_port}",
+        "seed": "1f",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+        "known": {"generation": 1, "reset": True, "instances": entries},
+        "settings": SETTINGS,
+    } | more
--- a/tests/config/test_check.py
+++ b/tests/config/test_check.py
@@ -23,7 +23,7 @@
 def test_the_example_is_valid_and_without_warnings() -> None:
     found = check(read(str(ROOT / "deploy" / "own-example.yaml")))
     assert found.warnings == ()
-    settings = pool_settings(found.model, found.model.pools["orders"])
+    settings = pool_settings(found.model, found.model.pools["price-store"])
     assert [item.name for item in settings.classes][3] == "place-order"
 
 
--- a/tests/config/test_diff.py
+++ b/tests/config/test_diff.py
@@ -24,7 +24,8 @@
         "pools.web.max_attempts",
     ]
     assert keys(BASE, deepcopy(BASE)) == []
-    assert keys({"a": 1}, {"a": True}) == ["a"]
+    assert keys({"a": {"b": 1}}, {"a": {}}) == ["a", "a.b"]
+    assert keys({"a": [1, 2]}, {"a": [1]}) == ["a"]
 
 
 def test_a_route_keeps_its_keys_when_another_is_put_before_it() -> None:
--- a/tests/control/test_control.py
+++ b/tests/control/test_control.py
@@ -200,6 +200,32 @@
     run(work())
 
 
+def test_ten_thousand_routes_are_proposed_and_committed_while_others_are_answered(tmp_path: Path) -> None:
+    """The check of a long file is not done between requests: other calls are answered while it goes on."""
+
+    async def work() -> None:
+        async with controlled(tmp_path) as (kept, farm, path), Peer(path) as peer, Peer(path) as other:
+            data = json.loads(change(farm))
+            data["routes"] += [
+                {"name": f"r{n}", "match": {"path": {"exact": f"/p/{n}"}}, "to": {"pool": "orders"}}
+                for n in range(10_000)
+            ]
+            call = asyncio.create_task(peer.call("propose", text=json.dumps(data), base=1))
+            for _ in range(5):
+                await asyncio.sleep(0.01)
+                assert (await other.call("status"))["ok"]
+            assert not call.done()
+            proposed = await call
+            assert (await peer.call("commit", proposal=proposed["proposal"], wait=True))[
+                "state"
+            ] == "confirmed"
+            async with Caller(kept.port) as caller:
+                caller.ask(target="/p/9999")
+                assert (await caller.answer()).body == b"o1"
+
+    run(work())
+
+
 def test_a_socket_in_use_or_another_file_is_left_alone(tmp_path: Path) -> None:
     async def work() -> None:
         async with controlled(tmp_path) as (kept, _, path):
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -21,48 +21,10 @@
 from mulleinhitch.interface import Action, AttemptEnded, Event, Fail, RequestArrived, Send
 from standins.callers import Caller, request_bytes
 from standins.discovery import FakeDiscovery
+from standins.platform import SETTINGS, config_data
 from standins.servers import Behaviour, FakeUpstream, Talk, entry, serve_ok
 from standins.wire import PATIENCE_S, Answer, Incoming, ok, read_answer, read_head, status
 
-SETTINGS: dict[str, Any] = {
-    "Categories": [
-        {"Name": "look", "Effect": "read_like", "AimMs": 5000, "HardLimitMs": 8000, "Group": "all"},
-        {
-            "Name": "post",
-            "Effect": "idempotency_key",
-            "AimMs": 5000,
-            "HardLimitMs": 8000,
-            "Group": "zone",
-            "MemorySpanMs": 4000,
-            "Worth": 8,
-        },
-        {"Name": "move", "Effect": "non_idempotent", "AimMs": 5000, "HardLimitMs": 8000, "Worth": 8},
-    ],
-    "Tenants": [{"Name": "acme", "QuotaPerS": 1000, "Fraction": 1.0}],
-    "Zones": ["north", "south"],
-    "MachineTypes": ["box"],
-    "Tiers": ["front"],
-    "Discovery": "pushed",
-    "Guarantees": {
-        "AnswerSlackMs": 5,
-        "ColdShare": 0.3,
-        "ColdMs": 9000,
-        "DrainGraceMs": 500,
-        "FallMultiple": 3,
-        "FallMs": 1000,
-    },
-    "PolicyLimits": {
-        "SendCap": 4,
-        "MayCancel": True,
-        "SecondCopies": True,
-        "ConnIdleMs": 60000,
-        "ConnectTimeoutMs": 2000,
-        "RetryAfter": True,
-        "MaxRetryAfterMs": 2000,
-    },
-    "Stats": {"How": "off", "Fields": []},
-}
-
 
 class Script:
     """Stands in for the decisions: each request's sends go to the given servers in turn, then it fails. Keeps
@@ -113,18 +75,6 @@
     errors: list[str] = field(default_factory=list)
 
 
-def config_data(entries: list[dict[str, Any]], discovery_port: int, **more: Any) -> dict[str, Any]:
-    return {
-        "name": "n1",
-        "listen": "127.0.0.1:0",
-        "discovery": f"127.0.0.1:{discovery_port}",
-        "seed": "1f",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
-        "known": {"generation": 1, "reset": True, "instances": entries},
-        "settings": SETTINGS,
-    } | more
-
-
 @asynccontextmanager
 async def running(
     *entries: dict[str, Any],
