Watch: groups of blocks and the worst stretch before, since bursts last longer than a block

Change: blocks are grouped by the autocorrelation seen before the change, four at least; the yield must lie below the worst equally long stretch before; a collapse needs no more proof. Loss: a partial fall is found after some 24 blocks, not after 3.

--- a/larkweir/config/yield_watch.py
+++ b/larkweir/config/yield_watch.py
@@ -8,6 +8,11 @@
 is repeated as blocks come in; the stated significance is shared out over all of them (Bonferroni), so it
 bounds the odds of a false alarm over the watch.
 
+Bursts last longer than a block. So blocks are put together into groups as long as the yields before the
+change were seen to hang together (`correlation_length`), groups are what is ranked, and the yield since the
+change must be lower than that of any equally long stretch before. A collapse, to under a quarter of the
+worst such stretch, does not wait for more proof.
+
 A significant fall must also be a large one, and must not be what more load alone would explain: where more
 worth is asked for than before and no less of it is answered in time, the pools are full, not worse.
 """
@@ -138,6 +143,8 @@
     LEAST_REQUESTS = 20  # of a class after the change
     MORE_LOAD = 1.1  # times the worth asked for before, from which fuller pools may explain a fall
     LESS_SERVED = 0.9  # times the worth served before, under which they do not
+    LEAST_GROUP = 4  # blocks: a few bursts before a change are too few to tell how long they last
+    COLLAPSE = 0.25  # of the worst stretch before: below that no more proof is waited for
 
     def __init__(self, block_ms: float, before_ms: float) -> None:
         self._block_ms = block_ms
@@ -245,12 +252,18 @@
         before, now = old.served / old.asked, new.served / new.asked
         if before - now < self._least_fall or self._is_load(old, new, len(rows[0]), len(rows[1])):
             return None
-        yields = [[tally.served / tally.asked for tally in row if tally.asked] for row in rows]
-        p = rank_test(yields[0], yields[1])
-        if p > allowed:
+        yields = [tally.served / tally.asked for tally in rows[0] if tally.asked]
+        span = max(self.LEAST_GROUP, correlation_length(yields))
+        worst = worst_window(rows[0], len(rows[1]))
+        groups = [_group_yields(row, span) for row in rows]
+        p = rank_test(groups[0], groups[1])
+        # Worse than any stretch before: guards against a long burst, of which the blocks are one sample.
+        sure = p <= allowed and now < worst - self._least_fall
+        collapsed = now < self.COLLAPSE * worst and len(rows[1]) >= 2 * correlation_length(yields)
+        if not sure and not collapsed:
             return None
         return Fall(
-            name, before, now, old.refused / old.requests, new.refused / new.requests, p, len(yields[1])
+            name, before, now, old.refused / old.requests, new.refused / new.requests, p, len(rows[1])
         )
 
     def _is_load(self, old: Tally, new: Tally, before: int, after: int) -> bool:
@@ -260,7 +273,47 @@
         return asked > self.MORE_LOAD and served > self.LESS_SERVED
 
 
-def _total(row: list[Tally]) -> Tally:
+def correlation_length(yields: Sequence[float]) -> int:
+    """Of how many blocks one sample must be put together, by the autocorrelation of those before the change:
+    one and twice the sum of the correlations, up to the lag at which they are lost in the noise (twice its
+    standard error); Bartlett 1946. At most a tenth of the blocks.
+    """
+    n = len(yields)
+    mean = sum(yields) / n if n else 0.0
+    spread = sum((value - mean) ** 2 for value in yields)
+    most = max(1, n // 10)
+    if spread <= 0.0:
+        return 1
+    length = 1.0
+    for lag in range(1, most):
+        shared = sum((yields[at] - mean) * (yields[at + lag] - mean) for at in range(n - lag))
+        if shared / spread < 2.0 / math.sqrt(n):
+            break
+        length += 2.0 * shared / spread
+    return min(most, math.ceil(length))
+
+
+def worst_window(row: Sequence[Tally], length: int) -> float:
+    """The least yield of any stretch of so many blocks in a row; of all of them, where there are no more."""
+    length = min(length, len(row))
+    asked = served = 0.0
+    worst = math.inf
+    for at, tally in enumerate(row):
+        asked, served = asked + tally.asked, served + tally.served
+        if at >= length:
+            asked, served = asked - row[at - length].asked, served - row[at - length].served
+        if at >= length - 1 and asked > 0.0:
+            worst = min(worst, served / asked)
+    return worst
+
+
+def _group_yields(row: Sequence[Tally], span: int) -> list[float]:
+    """The yields of groups of `span` blocks; an unfinished last group is left out."""
+    groups = [_total(row[at : at + span]) for at in range(0, len(row) - span + 1, span)]
+    return [total.served / total.asked for total in groups if total.asked]
+
+
+def _total(row: Sequence[Tally]) -> Tally:
     total = Tally()
     for tally in row:
         total.add(tally)
--- a/standins/servers.py
+++ b/standins/servers.py
@@ -69,6 +69,7 @@
             pass
         finally:
             self._tasks.discard(task)
+            self.talks.remove(talk)
             writer.close()
 
     def close(self) -> None:
--- a/tests/control/test_control.py
+++ b/tests/control/test_control.py
@@ -226,6 +226,19 @@
     run(work())
 
 
+def test_a_peer_of_another_user_is_turned_away(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def work() -> None:
+        async with controlled(tmp_path) as (_, _, path):
+            monkeypatch.setattr("larkweir.control.server.peer_user", lambda sock: os.geteuid() + 4711)
+            async with Peer(path) as peer:
+                assert await peer.reader.read() == b""  # closed unheard
+            monkeypatch.undo()
+            async with Peer(path) as peer:
+                assert (await peer.call("status"))["ok"]
+
+    run(work())
+
+
 def test_a_socket_in_use_or_another_file_is_left_alone(tmp_path: Path) -> None:
     async def work() -> None:
         async with controlled(tmp_path) as (kept, _, path):
