--- a/tests/config/test_yield_watch.py
+++ b/tests/config/test_yield_watch.py
@@ -70,8 +70,8 @@
 
 
 def test_a_fall_is_found_within_half_of_the_window_and_told() -> None:
-    run = Run()
-    for _ in range(60):
+    run = Run(1, 60_000.0)
+    for _ in range(120):
         assert run.block(noisy(run.rng)) is None
     run.begin()
     falls = [run.block(0.4) for _ in range(30)]
