One class for work asked for by signals; throughput counts processor time too

Cause: the reload of the platform's program and that of an own configuration repeated each other, and requests a second on a shared core swing by a third, too much to tell two programs apart. Change: core/again runs work once more if it was asked for meanwhile; through turns the order of its rounds and prints processor time a request.

--- a/benchmarks/through.py
+++ b/benchmarks/through.py
@@ -136,6 +136,12 @@
     return sum(counts) / seconds
 
 
+def cpu_s(pid: int) -> float:
+    """Processor time that a process has used, in seconds (proc(5))."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
 async def measure(rounds: int, seconds: float, connections: int, directory: str, before: str) -> None:
     cores = sorted(os.sched_getaffinity(0))
     one, rest = {cores[-1]}, set(cores[:-1]) or {cores[-1]}
@@ -160,23 +166,28 @@
     this = ("-m", "benchmarks.through")
     processes = [await spawn(*this, "--role", "server", "--port", str(port), cores=rest) for port in servers]
     relayed = ("--role", "relay", "--port", str(relay), "--to", str(servers[0]))
-    processes.append(await spawn(*this, *relayed, cores=one))
-    processes.append(await spawn("-m", "larkweir", cores=one, env={"GW_CONFIG": str(config)}))
+    measured = {"relay": await spawn(*this, *relayed, cores=one)}
+    measured["platform"] = await spawn("-m", "larkweir", cores=one, env={"GW_CONFIG": str(config)})
     if before:
         older = free_port()
         env = {"GW_CONFIG": str(config), "GW_LISTEN": f"127.0.0.1:{older}", "PYTHONPATH": before}
-        processes.append(await spawn("-P", "-m", "larkweir", cores=one, env=env, cwd=before))
+        measured["before"] = await spawn("-P", "-m", "larkweir", cores=one, env=env, cwd=before)
     control = str(Path(directory) / "c.sock")
-    processes.append(await spawn("-m", "larkweir", "serve", str(file), "--control", control, cores=one))
+    measured["own"] = await spawn("-m", "larkweir", "serve", str(file), "--control", control, cores=one)
+    processes += measured.values()
     try:
         for port in (*servers, relay, platform, own):
             await up(port)
         await asyncio.sleep(1.0)
         ports = {"relay": relay, "platform": platform, "own": own} | ({"before": older} if before else {})
         rates: dict[str, list[float]] = {name: [] for name in ports}
+        costs: dict[str, list[float]] = {name: [] for name in ports}
         for turn in range(rounds):
-            for name, port in ports.items():
-                rates[name].append(await rate(port, connections, seconds))
+            order = list(ports) if turn % 2 else list(ports)[::-1]  # guards against a drift of the machine
+            for name in order:
+                spent = cpu_s(measured[name].pid)
+                rates[name].append(await rate(ports[name], connections, seconds))
+                costs[name].append((cpu_s(measured[name].pid) - spent) / (rates[name][-1] * seconds) * 1e6)
             row = "  ".join(f"{name} {values[-1]:.0f}/s" for name, values in rates.items())
             print(f"round {turn + 1}: {row}", flush=True)
         ratios = {
@@ -184,6 +195,8 @@
             for name in ports
         }
         told = ", ".join(f"{name} {ratio:.3f}" for name, ratio in ratios.items() if name != "relay")
+        cost = ", ".join(f"{name} {statistics.median(found):.0f}" for name, found in costs.items())
+        print(f"processor time a request, in microseconds: {cost}")
         print(f"through: at {connections} connections, of a bare relay's requests a second: {told}")
     finally:
         for process in processes:
--- a/larkweir/__main__.py
+++ b/larkweir/__main__.py
@@ -11,6 +11,7 @@
 
 from larkweir.config.platform import Config, load
 from larkweir.core.address import ConfigError
+from larkweir.core.again import Again
 from larkweir.single import Single
 
 ACCEPT_MS = 550.0  # new connections go on coming for up to 400 ms after SIGTERM
@@ -20,31 +21,23 @@
 
 class Reload:
     """SIGHUP: the file is read again, and discovery is followed to the address that it names. The other keys
-    count from the next start. One read at a time; of signals in a row, what the last one finds counts.
+    count from the next start.
     """
 
     def __init__(self, single: Single) -> None:
         self._journal = single.shared.journal
         self._discovery = single.discovery
-        self._asked = False
-        self._task: asyncio.Task[None] | None = None
-
-    def ask(self) -> None:
-        self._asked = True
-        if self._task is None or self._task.done():
-            self._task = asyncio.get_running_loop().create_task(self._run())
-
-    async def _run(self) -> None:
-        while self._asked:
-            self._asked = False
-            try:
-                # On a thread: requests don't wait for a disk or for a long file to be checked.
-                config = await asyncio.to_thread(load, again=True)
-            except ConfigError as problem:
-                self._journal.line(f"reload: {problem}; what was read before stays")
-                continue
-            self._journal.line(f"reload: discovery is {config.discovery[0]}:{config.discovery[1]}")
-            self._discovery.move(config.discovery)
+        self.ask = Again(self._read).ask
+
+    async def _read(self) -> None:
+        try:
+            # On a thread: requests don't wait for a disk or for a long file to be checked.
+            config = await asyncio.to_thread(load, again=True)
+        except ConfigError as problem:
+            self._journal.line(f"reload: {problem}; what was read before stays")
+            return
+        self._journal.line(f"reload: discovery is {config.discovery[0]}:{config.discovery[1]}")
+        self._discovery.move(config.discovery)
 
 
 async def serve(config: Config) -> int:
--- a/larkweir/service/reload.py
+++ b/larkweir/service/reload.py
@@ -9,43 +9,39 @@
 
 from larkweir.config.check import Checked, CheckError
 from larkweir.config.transactions import RefusedError
+from larkweir.core.again import Again
 from larkweir.service.service import Service
 
 
 class Reload:
-    """One read at a time; of signals in a row, what the last one finds counts. A file with errors, or a
-    change that is on its way already, leaves everything as it is and says so in the log.
+    """A file with errors, or a change that is on its way already, leaves everything as it is and says so in
+    the log.
     """
 
     def __init__(self, service: Service, path: str, load: Callable[[str], Checked]) -> None:
         self._service = service
         self._path = path
         self._load = load
-        self._asked = False
-        self._task: asyncio.Task[None] | None = None
+        self.ask = Again(self._read).ask
 
-    def ask(self) -> None:
-        self._asked = True
-        if self._task is None or self._task.done():
-            self._task = asyncio.get_running_loop().create_task(self._run())
-
-    async def _run(self) -> None:
+    async def _read(self) -> None:
         journal = self._service.journal
-        while self._asked:
-            self._asked = False
-            try:
-                # On a thread: requests don't wait for a disk or for a long file to be checked.
-                checked = await asyncio.to_thread(self._load, self._path)
-                proposal = self._service.propose_checked(checked, None, "SIGHUP", f"reload of {self._path}")
-                try:
-                    version = self._service.commit(proposal.number)
-                except RefusedError:
-                    if proposal.number in self._service.transactions.proposals:
-                        self._service.discard(proposal.number)
-                    raise
-                journal.line(f"reload: version {version.number}, {version.changes} keys changed")
-            except CheckError as failure:
-                for problem in failure.problems[:5]:
-                    journal.line(f"reload: {problem}")
-            except RefusedError as refused:
-                journal.line(f"reload: {refused.why.value}: {refused.text}")
+        try:
+            # On a thread: requests don't wait for a disk or for a long file to be checked.
+            checked = await asyncio.to_thread(self._load, self._path)
+            self._commit(checked)
+        except CheckError as failure:
+            for problem in failure.problems[:5]:
+                journal.line(f"reload: {problem}")
+        except RefusedError as refused:
+            journal.line(f"reload: {refused.why.value}: {refused.text}")
+
+    def _commit(self, checked: Checked) -> None:
+        proposal = self._service.propose_checked(checked, None, "SIGHUP", f"reload of {self._path}")
+        try:
+            version = self._service.commit(proposal.number)
+        except RefusedError:
+            if proposal.number in self._service.transactions.proposals:
+                self._service.discard(proposal.number)
+            raise
+        self._service.journal.line(f"reload: version {version.number}, {version.changes} keys changed")
