A pool's tier in the configuration; the demo plays without refusals of its own making

Cause: the demo's pools all counted as the first tier, so that each of them refused before work was spent, and its servers answered in 4 ms, where the jitter of one process is taken for load: 14 % of its requests were refused. A collapse seen by the watch is told as one.

--- a/larkweir/config/check.py
+++ b/larkweir/config/check.py
@@ -254,6 +254,8 @@
         classes=[_request_class(name, item) for name, item in model.classes.items()],
         tenants=[Tenant(item.quota_per_s, item.fraction, name) for name, item in model.tenants.items()],
         copies=pool.copies,
+        tier=pool.tier,
+        tiers=pool.tier + 1,
         on_request_discovery=bool(pool.source and pool.source.ask),
         cold_share=pool.cold_share,
         cold_ms=pool.cold_ms,
--- a/larkweir/config/model.py
+++ b/larkweir/config/model.py
@@ -123,6 +123,8 @@
     cold_ms: Annotated[float, Field(ge=0, le=3_600_000)] = 30_000.0
     new_servers: Literal["cold", "warm"] = "cold"
     copies: Annotated[int, Field(ge=1, le=10_000)] = 1  # balancers that send to these servers
+    # Its place in the chain of calls. Only the first, 0, refuses before work is spent on a request above it.
+    tier: Annotated[int, Field(ge=0, le=15)] = 0
     # Whether a change that brings this pool is refused while none of its servers can be connected to.
     require_reachable: bool = True
 
--- a/larkweir/config/yield_watch.py
+++ b/larkweir/config/yield_watch.py
@@ -69,12 +69,14 @@
     refused_after: float
     p: float
     blocks: int
+    collapsed: bool = False  # so far down that no proof by ranks was waited for
 
     def __str__(self) -> str:
+        proof = "a collapse" if self.collapsed else f"p {self.p:.1e}"
         return (
             f"the yield of {self.name} fell from {self.before:.3f} to {self.after:.3f} "
             f"(refused {self.refused_before:.3f} -> {self.refused_after:.3f}; "
-            f"p {self.p:.1e} over {self.blocks} blocks)"
+            f"{proof} over {self.blocks} blocks)"
         )
 
 
@@ -262,9 +264,8 @@
         collapsed = now < self.COLLAPSE * worst and len(rows[1]) >= 2 * correlation_length(yields)
         if not sure and not collapsed:
             return None
-        return Fall(
-            name, before, now, old.refused / old.requests, new.refused / new.requests, p, len(rows[1])
-        )
+        refused = (old.refused / old.requests, new.refused / new.requests)
+        return Fall(name, before, now, *refused, p, len(rows[1]), collapsed and not sure)
 
     def _is_load(self, old: Tally, new: Tally, before: int, after: int) -> bool:
         """Whether more is asked for in each block than before, and no less of it served."""
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -55,7 +55,7 @@
             if name in self.broken:
                 await talk.send(b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n")
                 return
-            await asyncio.sleep(self._rng.uniform(0.003, 0.006))
+            await asyncio.sleep(self._rng.uniform(0.02, 0.04))
             below = BELOW.get(pool)
             if below is not None and not await self._call(request, *below):
                 await talk.send(b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n")
--- a/tests/config/test_check.py
+++ b/tests/config/test_check.py
@@ -25,6 +25,7 @@
     assert found.warnings == ()
     settings = pool_settings(found.model, found.model.pools["price-store"])
     assert [item.name for item in settings.classes][3] == "place-order"
+    assert settings.tier == 2  # below the first tier nothing is refused before work is spent
 
 
 def test_every_error_is_told_in_one_go_with_its_line() -> None:
--- a/tests/config/test_yield_watch.py
+++ b/tests/config/test_yield_watch.py
@@ -141,7 +141,8 @@
         run.block(0.5 if n % 12 < 3 else 0.98)
     run.begin()
     falls = [run.block(0.0) for _ in range(12)]
-    assert next(n for n, fall in enumerate(falls) if fall) <= 9
+    at = next(n for n, fall in enumerate(falls) if fall)
+    assert at <= 9 and "a collapse over" in str(falls[at])
 
 
 def test_the_length_of_correlation() -> None:
