--- a/benchmarks/start.py
+++ b/benchmarks/start.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import argparse
+import compileall
 import json
 import os
 import socket
@@ -56,6 +57,12 @@
     parser.add_argument("--before", required=True, metavar="DIR")
     parser.add_argument("--rounds", type=int, default=15)
     args = parser.parse_args()
+    for checkout in (
+        Path(args.before),
+        ROOT,
+    ):  # else the one that is not compiled starts later for that alone
+        compileall.compile_dir(checkout / "larkweir", quiet=2)
+        compileall.compile_dir(checkout / "mulleinhitch", quiet=2)
     rows: dict[str, list[tuple[float, float]]] = {"before": [], "now": []}
     with tempfile.TemporaryDirectory() as directory:
         for turn in range(args.rounds + 1):
