--- a/larkweir/core/shared.py
+++ b/larkweir/core/shared.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
 from typing import Protocol
 
 from larkweir.core.clock import Clock
@@ -67,26 +66,28 @@
         """Close the connection that has been idle for longest; False if none is idle."""
 
 
-@dataclass(slots=True)
 class Shared:
-    """Handed to every pool and listener of a process. `past_ms`: how long an id is known after its end."""
-
-    loop: asyncio.AbstractEventLoop
-    name: str
-    memory_mb: float
-    past_ms: float
-    caller_budget: int  # connections of callers that may be open at once, over all listeners
-    server_budget: int  # connections to servers, over all pools
-    clock: Clock = field(init=False)
-    journal: Journal = field(init=False)
-    room: Room = field(init=False)
-    traces: Traces = field(init=False)
-    descriptors: Descriptors = field(init=False)
-    callers: int = 0  # connections of callers that are open, over all listeners
-
-    def __post_init__(self) -> None:
-        self.clock = Clock(self.loop)
-        self.journal = Journal(self.name)
-        self.room = Room(self.memory_mb)
-        self.traces = Traces(self.past_ms)
-        self.descriptors = Descriptors(self.server_budget)
+    """Handed to every pool and listener of a process.
+
+    `past_ms`: how long an id is known after its end. `caller_budget`: connections of callers that may be
+    open at once, over all listeners; `server_budget`: connections to servers, over all pools.
+    """
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        name: str,
+        memory_mb: float,
+        past_ms: float,
+        caller_budget: int,
+        server_budget: int,
+    ) -> None:
+        self.loop = loop
+        self.name = name
+        self.caller_budget = caller_budget
+        self.callers = 0  # connections of callers that are open, over all listeners
+        self.clock = Clock(loop)
+        self.journal = Journal(name)
+        self.room = Room(memory_mb)
+        self.traces = Traces(past_ms)
+        self.descriptors = Descriptors(server_budget)
--- a/larkweir/engine.py
+++ b/larkweir/engine.py
@@ -7,8 +7,8 @@
 import traceback
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, replace
-from typing import Protocol
+from dataclasses import replace
+from typing import NamedTuple, Protocol
 
 from larkweir.core.clock import Timer
 from larkweir.core.shared import Shared
@@ -120,8 +120,7 @@
 SourceMaker = Callable[[Callable[[Listing], None], Callable[[str], None]], Source]
 
 
-@dataclass(slots=True, frozen=True)
-class PoolPlan:
+class PoolPlan(NamedTuple):
     """What one pool is run by. `sockets` is the most connections to its servers; `drain_grace_ms` the time
     from the word that a server drains to the last send that may still go there.
     """
--- a/larkweir/sources/discovery.py
+++ b/larkweir/sources/discovery.py
@@ -5,9 +5,9 @@
 import asyncio
 import json
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from random import Random
-from typing import Any, cast
+from typing import Any, NamedTuple, cast
 
 from larkweir.core.address import Address, ConfigError, parse_address
 from larkweir.http1 import Message, ResponseReader, encode_request
@@ -17,8 +17,7 @@
 STATES = {"active": ServerState.READY, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
 
 
-@dataclass(slots=True, frozen=True)
-class DiscoveryPlan:
+class DiscoveryPlan(NamedTuple):
     """Where discovery is and how it is asked. `known` is a whole list in its form, as last held."""
 
     address: Address
@@ -26,7 +25,7 @@
     kinds: tuple[str, ...] = ()
     asked: bool = False  # lists come only when asked for; else they are pushed
     seed: int = 0
-    known: dict[str, Any] = field(default_factory=dict)
+    known: dict[str, Any] | None = None
 
 
 class DiscoveryError(Exception):
