One piece for what the two programs both wrote: draining, descriptors, signals, refusals

Cause: reading the change again showed twins. The drain loop, the raising of the descriptor limit and its shares, the stop signals, the collector's settings, the 409 and the 405 stood in the platform's program and in the service. Change: draining and core/process serve both; refuse_known and ALLOW stand beside Requests; the loop's error line stands with the log. Away: due_ms, size_of and Front.owed, which nothing called; a seed exclusive-ored with itself; a second autocorrelation a look; the longest aim taken anew each tick. Behaviour is as it was.

--- a/larkweir/__main__.py
+++ b/larkweir/__main__.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import gc
 import signal
 import sys
 
@@ -12,12 +11,10 @@
 from larkweir.config.platform import Config, load
 from larkweir.core.address import ConfigError
 from larkweir.core.again import Again
+from larkweir.core.process import settle_collector, stop_event
+from larkweir.draining import drain
 from larkweir.single import Single
 
-ACCEPT_MS = 550.0  # new connections go on coming for up to 400 ms after SIGTERM
-LAST_MS = 100.0  # past the longest deadline, for the last answers to be read
-STEP_S = 0.01
-
 
 class Reload:
     """SIGHUP: the file is read again, and discovery is followed to the address that it names. The other keys
@@ -42,9 +39,7 @@
 
 async def serve(config: Config) -> int:
     loop = asyncio.get_running_loop()
-    stopping = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
+    stopping = stop_event(loop)
     single = Single(config, loop)
     loop.add_signal_handler(signal.SIGHUP, Reload(single).ask)
     try:
@@ -53,33 +48,15 @@
         print(f"larkweir: listen: {config.listen[0]}:{config.listen[1]}: {problem}", file=sys.stderr)
         return 2
     single.engine.source.start()
-    # Guards against collection pauses: what lives from here on is short-lived and holds few cycles.
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(20_000, 20, 100)
+    settle_collector()
     await stopping.wait()
-    await drain(config, single)
+    longest_ms = max(item.deadline_ms for item in config.settings.classes)
+    await drain(single.shared.clock, [single.listener], lambda: single.engine.owed, longest_ms)
+    single.engine.source.stop()
+    single.engine.upstreams.close()
     return 0
 
 
-async def drain(config: Config, single: Single) -> None:
-    """Accept while connections still come, serve what was taken, and end as soon as nothing is owed."""
-    engine, listener = single.engine, single.listener
-    clock = single.shared.clock
-    begun = clock.now_ms()
-    listener.closing = True
-    await asyncio.sleep(ACCEPT_MS / 1000.0)
-    listener.stop_accepting()
-    last = begun + ACCEPT_MS + LAST_MS + max(item.deadline_ms for item in config.settings.classes)
-    while clock.now_ms() < last:
-        listener.end_idle()
-        if not engine.owed and not listener.taking:
-            break
-        await asyncio.sleep(STEP_S)
-    engine.source.stop()
-    engine.upstreams.close()
-
-
 def main() -> int:
     if len(sys.argv) > 1:  # a verb; what it needs beyond the platform's program is loaded only then
         from larkweir.cli import main as command
--- a/larkweir/cli.py
+++ b/larkweir/cli.py
@@ -9,7 +9,6 @@
 
 import argparse
 import asyncio
-import gc
 import json
 import os
 import signal
@@ -284,16 +283,15 @@
 async def _serve(args: argparse.Namespace, checked: Checked, err: TextIO) -> int:
     from larkweir.config.history import History, HistoryError
     from larkweir.control.server import ControlError, ControlServer
+    from larkweir.core.log import report_loop_errors
+    from larkweir.core.process import settle_collector, stop_event
     from larkweir.service.accesslog import AccessLog
     from larkweir.service.pools import StageError
     from larkweir.service.reload import Reload
     from larkweir.service.service import Service, check_data
-    from larkweir.single import report_loop_errors
 
     loop = asyncio.get_running_loop()
-    stopping = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
+    stopping = stop_event(loop)
     history = saved = None
     try:
         if args.state:
@@ -316,9 +314,7 @@
         print(f"larkweir: {problem}", file=err)
         return FAILED
     loop.add_signal_handler(signal.SIGHUP, Reload(service, args.file, load).ask)
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(20_000, 20, 100)
+    settle_collector()
     service.journal.line(
         f"version {service.transactions.in_force.number} in force; control at {args.control}"
     )
--- a/larkweir/config/platform.py
+++ b/larkweir/config/platform.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from larkweir.core.address import Address, ConfigError, parse_address
+from larkweir.core.process import grant_descriptors
 from mulleinhitch.interface import Settings, SettingsError
 from mulleinhitch.wire import decode_settings
 
@@ -54,14 +55,12 @@
 
 def _sockets(data: dict[str, Any]) -> int:
     """The descriptors this process may hold: the stated limit or the system's, whichever is less."""
-    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    stated: Any = _object(data.get("limits", {}), "limits").get("sockets", soft)
+    stated: Any = _object(data.get("limits", {}), "limits").get(
+        "sockets", resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    )
     if isinstance(stated, bool) or not isinstance(stated, int) or stated < 32:
         raise ConfigError(f"limits.sockets: {stated!r} is not a whole number of at least 32")
-    if soft != resource.RLIM_INFINITY and soft < stated:
-        soft = stated if hard == resource.RLIM_INFINITY else min(stated, hard)
-        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
-    return int(stated if soft == resource.RLIM_INFINITY else min(stated, soft))
+    return grant_descriptors(stated)
 
 
 def _memory(data: dict[str, Any]) -> float:
--- a/larkweir/config/transactions.py
+++ b/larkweir/config/transactions.py
@@ -19,7 +19,6 @@
 
 from __future__ import annotations
 
-import json
 from collections import OrderedDict
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
@@ -451,13 +450,6 @@
         elif version.watch_until_ms is not None and now_ms >= version.watch_until_ms:
             self._confirm(version)
 
-    def due_ms(self) -> float | None:
-        """When `tick` has something to do next."""
-        version = self.pending
-        if version is None or version.state is not State.IN_FORCE:
-            return None
-        return version.confirm_by_ms if version.confirm_by_ms is not None else version.watch_until_ms
-
     def _running(self, number: int | None) -> Version:
         version = self.pending
         if version is None or (number is not None and version.number != number):
@@ -542,8 +534,3 @@
         pending = self.pending
         if pending is not None and pending.state in (State.STAGING, State.SAVING):
             self.failed(pending, "the process ended")
-
-
-def size_of(data: dict[str, Any]) -> int:
-    """About the bytes that a proposal holds."""
-    return len(json.dumps(data))
--- a/larkweir/config/yield_watch.py
+++ b/larkweir/config/yield_watch.py
@@ -9,9 +9,9 @@
 bounds the odds of a false alarm over the watch.
 
 Bursts last longer than a block. So blocks are put together into groups as long as the yields before the
-change were seen to hang together (`correlation_length`), groups are what is ranked, and the yield since the
-change must be lower than that of any equally long stretch before. A collapse, to under a quarter of the
-worst such stretch, does not wait for more proof.
+change were seen to hang together (`correlation_length`), four at least; groups are what is ranked, and the
+yield since the change must lie the least fall below that of any equally long stretch before. A collapse, to
+under a quarter of the worst such stretch, does not wait for more proof.
 
 A significant fall must also be a large one, and must not be what more load alone would explain: where more
 worth is asked for than before and no less of it is answered in time, the pools are full, not worse.
@@ -255,13 +255,14 @@
         if before - now < self._least_fall or self._is_load(old, new, len(rows[0]), len(rows[1])):
             return None
         yields = [tally.served / tally.asked for tally in rows[0] if tally.asked]
-        span = max(self.LEAST_GROUP, correlation_length(yields))
+        length = correlation_length(yields)
+        span = max(self.LEAST_GROUP, length)
         worst = worst_window(rows[0], len(rows[1]))
         groups = [_group_yields(row, span) for row in rows]
         p = rank_test(groups[0], groups[1])
         # Worse than any stretch before: guards against a long burst, of which the blocks are one sample.
         sure = p <= allowed and now < worst - self._least_fall
-        collapsed = now < self.COLLAPSE * worst and len(rows[1]) >= 2 * correlation_length(yields)
+        collapsed = now < self.COLLAPSE * worst and len(rows[1]) >= 2 * length
         if not sure and not collapsed:
             return None
         refused = (old.refused / old.requests, new.refused / new.requests)
--- a/larkweir/core/log.py
+++ b/larkweir/core/log.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 import sys
 import time
+import traceback
 from contextlib import suppress
+from typing import Any
 
 
 class Journal:
@@ -34,3 +37,14 @@
     def _write(self, text: str) -> None:
         with suppress(OSError):  # a log that can't be written must not end the balancer
             print(f"larkweir {self._name}: {text[:2000]}", file=sys.stderr, flush=True)
+
+
+def report_loop_errors(loop: asyncio.AbstractEventLoop, journal: Journal) -> None:
+    """What no handler caught: one bounded line, and the process goes on."""
+
+    def told(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        problem = context.get("exception")
+        frames = "".join(traceback.format_exception(problem, limit=-3)) if problem is not None else ""
+        journal.line(f"{context.get('message')} {frames.strip()}".replace("\n", " | "))
+
+    loop.set_exception_handler(told)
--- a/larkweir/core/shared.py
+++ b/larkweir/core/shared.py
@@ -41,8 +41,8 @@
 class Descriptors:
     """The descriptors that all pools' connections to servers may take together."""
 
-    def __init__(self, most: int) -> None:
-        self.most = most
+    def __init__(self) -> None:
+        self.most = 0
         self.holders: dict[Holder, None] = {}
 
     @property
@@ -69,8 +69,7 @@
 class Shared:
     """Handed to every pool and listener of a process.
 
-    `past_ms`: how long an id is known after its end. `caller_budget`: connections of callers that may be
-    open at once, over all listeners; `server_budget`: connections to servers, over all pools.
+    `past_ms`: how long an id is known after its end. `spare`: descriptors for callers and servers together.
     """
 
     def __init__(
@@ -79,15 +78,19 @@
         name: str,
         memory_mb: float,
         past_ms: float,
-        caller_budget: int,
-        server_budget: int,
+        spare: int,
     ) -> None:
         self.loop = loop
         self.name = name
-        self.caller_budget = caller_budget
         self.callers = 0  # connections of callers that are open, over all listeners
         self.clock = Clock(loop)
         self.journal = Journal(name)
         self.room = Room(memory_mb)
         self.traces = Traces(past_ms)
-        self.descriptors = Descriptors(server_budget)
+        self.descriptors = Descriptors()
+        self.share_descriptors(spare)
+
+    def share_descriptors(self, spare: int) -> None:
+        """What callers and servers may hold of them; fewer than are held bind from the next connection on."""
+        self.caller_budget = spare * 9 // 20  # connections of callers, over all listeners
+        self.descriptors.most = spare // 2
--- a/larkweir/requests.py
+++ b/larkweir/requests.py
@@ -4,11 +4,19 @@
 
 import zlib
 
-from larkweir.http1 import FramingError, Message
+from larkweir.core.shared import Traces
+from larkweir.http1 import FramingError, Headers, Message
 from mulleinhitch.interface import Effect, RequestArrived, Settings
 
 MAX_TRACE = 128  # bytes of a request's id
 METHODS = frozenset((b"GET", b"POST", b"PUT", b"PATCH", b"DELETE"))
+ALLOW: Headers = [(b"Allow", b", ".join(sorted(METHODS)))]  # what goes with a 405
+
+
+def refuse_known(traces: Traces, trace: bytes) -> None:
+    """Guards the open request: a second under its id could not be told from a copy of it."""
+    if trace in traces:
+        raise FramingError(409, "a request with this id is open, or was until lately")
 
 
 class Requests:
--- a/larkweir/service/pools.py
+++ b/larkweir/service/pools.py
@@ -104,9 +104,8 @@
 class Pools:
     """The pools of all versions that are alive."""
 
-    def __init__(self, shared: Shared, seed: int) -> None:
+    def __init__(self, shared: Shared) -> None:
         self._shared = shared
-        self._seed = seed
         self.book = Book()
         self.alive: dict[str, RunningPool] = {}  # by content
 
@@ -124,8 +123,8 @@
 
     def _make(self, name: str, content: str, checked: Checked) -> RunningPool:
         spec = checked.model.pools[name]
-        # Differs from pool to pool, so that their draws do not go in step.
-        seed = (self._seed ^ checked.model.seed ^ int(content[:15], 16)) & (2**63 - 1)
+        # Made of the configured seed too, and differs from pool to pool, so that draws do not go in step.
+        seed = int(content[:15], 16)
         plan = PoolPlan(pool_settings(checked.model, spec), seed, spec.max_connections, spec.drain_grace_ms)
 
         def source(tell: Callable[[Listing], None], log: Callable[[str], None]) -> Source:
--- a/larkweir/service/service.py
+++ b/larkweir/service/service.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import resource
 from collections import deque
 from collections.abc import Callable
 from typing import Any
@@ -21,7 +20,9 @@
 from larkweir.config.transactions import Refusal, RefusedError, State, Transactions, Version
 from larkweir.config.yield_watch import YieldWatch
 from larkweir.core.address import parse_address
+from larkweir.core.process import grant_descriptors
 from larkweir.core.shared import Shared
+from larkweir.draining import drain
 from larkweir.listener import Listener
 from larkweir.service.pools import Pools, StageError
 from larkweir.service.versions import Front, RequestRecord, RunningVersion
@@ -47,11 +48,8 @@
         saved: Saved | None = None,
     ) -> None:
         model = first.model
-        spare = self._spare(first)
         slowest = max(item.deadline_ms for item in model.classes.values())
-        self.shared = Shared(
-            loop, model.name, model.limits.memory_mb, 2.0 * slowest, spare * 9 // 20, spare // 2
-        )
+        self.shared = Shared(loop, model.name, model.limits.memory_mb, 2.0 * slowest, self._spare(first))
         self.clock = self.shared.clock
         self.journal = self.shared.journal
         number = saved.confirmed if saved else 1
@@ -61,7 +59,7 @@
         self.front.over = self._over
         self.front.came = self._came
         self.front.freed = self._free
-        self.pools = Pools(self.shared, model.seed)
+        self.pools = Pools(self.shared)
         self.watch = self._new_watch(first)
         self.record: Callable[[RequestRecord], None] = lambda record: None
         self.running: dict[int, RunningVersion] = {}
@@ -80,13 +78,7 @@
     @staticmethod
     def _spare(checked: Checked) -> int:
         """The descriptors for callers and servers, within what the system lets this process have."""
-        wanted = checked.model.limits.sockets
-        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-        if soft != resource.RLIM_INFINITY and soft < wanted:
-            soft = wanted if hard == resource.RLIM_INFINITY else min(wanted, hard)
-            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
-        most = wanted if soft == resource.RLIM_INFINITY else min(wanted, soft)
-        return max(16, most - OWN_DESCRIPTORS)
+        return max(16, grant_descriptors(checked.model.limits.sockets) - OWN_DESCRIPTORS)
 
     @staticmethod
     def _new_watch(checked: Checked) -> YieldWatch:
@@ -109,27 +101,18 @@
         self._queue_save(0, None)
         self.clock.after(TICK_MS, self._tick)
 
-    async def drain(self, accept_ms: float = 550.0) -> None:
+    async def drain(self) -> None:
         """Take what still comes for a while, answer what was taken, and end as soon as nothing is owed."""
         self.stopping = True
         self.transactions.stop()
         self._carry_out()
-        begun = self.clock.now_ms()
-        listeners = [*self.listeners.values(), *self._leaving]
-        for listener in listeners:
-            listener.closing = True
-        await asyncio.sleep(accept_ms / 1000.0)
-        for listener in listeners:
-            listener.stop_accepting()
         slowest = max((version.slowest_ms for version in self.running.values()), default=0.0)
-        while self.clock.now_ms() < begun + accept_ms + 100.0 + slowest:
-            for listener in listeners:
-                listener.end_idle()
-            if not any(version.open for version in self.running.values()) and not any(
-                listener.taking for listener in listeners
-            ):
-                break
-            await asyncio.sleep(0.01)
+        await drain(
+            self.clock,
+            [*self.listeners.values(), *self._leaving],
+            lambda: any(version.open for version in self.running.values()),
+            slowest,
+        )
         await self.close()
 
     async def close(self) -> None:
@@ -343,9 +326,7 @@
         """Limits under what is in use bind from the next connection or body on; nothing that runs is cut
         off.
         """
-        spare = self._spare(checked)
-        self.shared.caller_budget = spare * 9 // 20
-        self.shared.descriptors.most = spare // 2
+        self.shared.share_descriptors(self._spare(checked))
         self.shared.room.set_limit(checked.model.limits.memory_mb)
         slowest = max(item.deadline_ms for item in checked.model.classes.values())
         self.shared.traces.past_ms = max(self.shared.traces.past_ms, 2.0 * slowest)
@@ -449,8 +430,7 @@
         now = self.now_ms
         current = self.front.current
         if current is not None:
-            patience = max(item.aim_ms for item in current.checked.model.classes.values())
-            fall = self.watch.close(now, patience)
+            fall = self.watch.close(now, current.longest_aim_ms)
             if fall is not None and self.transactions.pending is not None:
                 self.transactions.fell(self.transactions.pending, str(fall))
             self.pools.narrow(current.pools, now)
--- a/larkweir/service/versions.py
+++ b/larkweir/service/versions.py
@@ -19,7 +19,7 @@
 from larkweir.engine import Exchange
 from larkweir.http1 import FramingError, Message
 from larkweir.listener import CallerConnection
-from larkweir.requests import METHODS, Requests
+from larkweir.requests import ALLOW, METHODS, Requests, refuse_known
 from larkweir.routing.table import Answer, Query, Split, Target
 from larkweir.service.pools import RunningPool
 
@@ -43,7 +43,6 @@
     """One version's routes and pools, and how many requests it still has."""
 
     def __init__(self, version: Version, pools: dict[str, RunningPool]) -> None:
-        self.version = version
         self.number = version.number
         self.checked: Checked = version.checked
         self.pools = pools
@@ -55,6 +54,7 @@
         self.requests = Requests(pool_settings(model, some), model.default_class) if some else None
         self.class_names = list(model.classes)
         self.slowest_ms = max(item.deadline_ms for item in model.classes.values())
+        self.longest_aim_ms = max(item.aim_ms for item in model.classes.values())
 
     def query(self, listener: str, message: Message) -> Query:
         host = (message.value(b"host") or b"").lower()
@@ -90,16 +90,12 @@
             pool.engine.ready or not pool.spec.require_reachable for pool in version.pools.values()
         )
 
-    @property
-    def owed(self) -> int:
-        return 0 if self.current is None else self.current.open
-
     def begin(self, caller: CallerConnection, message: Message) -> Callable[[], None] | None:
         version = self.current
         if version is None:
             raise FramingError(503, "not ready")
         if message.method not in METHODS:
-            caller.answer(405, [(b"Allow", b", ".join(sorted(METHODS)))], b"")
+            caller.answer(405, ALLOW, b"")
             return None
         query = version.query(caller.listener_name, message)
         table = version.checked.table
@@ -109,11 +105,9 @@
         if isinstance(target, Answer):
             self._answer(caller, message, target, version, name, query)
             return None
-        pool_name = target if isinstance(target, str) else self._split(target, message)
-        return self._send(caller, message, version, name, version.pools[pool_name])
-
-    def _split(self, split: Split, message: Message) -> str:
-        return split.choose(message.headers, self._rng.random)
+        if isinstance(target, Split):
+            target = target.choose(message.headers, self._rng.random)
+        return self._send(caller, message, version, name, version.pools[target])
 
     def _answer(
         self,
@@ -154,8 +148,7 @@
             # Servers and logs tell requests apart by it; one who sends none can't ask for it again either.
             message.headers.append((b"X-Trace-Id", uuid4().hex.encode()))
         event, left, trace = requests.read(message)
-        if trace in self._shared.traces:
-            raise FramingError(409, "a request with this id is open, or was until lately")
+        refuse_known(self._shared.traces, trace)
         came = self._shared.clock.now_ms()
         name = version.class_names[event.class_index]
         version.open += 1
--- a/larkweir/single.py
+++ b/larkweir/single.py
@@ -3,40 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-import traceback
 from collections.abc import Callable
 from functools import partial
-from typing import Any
 
 from larkweir.config.platform import Config
-from larkweir.core.log import Journal
+from larkweir.core.log import report_loop_errors
 from larkweir.core.shared import Shared
 from larkweir.engine import Decisions, Engine, PoolPlan
-from larkweir.http1 import FramingError, Message
+from larkweir.http1 import Message
 from larkweir.listener import CallerConnection, Listener
-from larkweir.requests import METHODS, Requests
+from larkweir.requests import ALLOW, METHODS, Requests, refuse_known
 from larkweir.sources.discovery import Discovery, DiscoveryPlan, Listing
 
 OWN_DESCRIPTORS = 24  # what the process itself needs
 
 
-def report_loop_errors(loop: asyncio.AbstractEventLoop, journal: Journal) -> None:
-    """What no handler caught: one bounded line, and the process goes on."""
-
-    def told(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
-        problem = context.get("exception")
-        frames = "".join(traceback.format_exception(problem, limit=-3)) if problem is not None else ""
-        journal.line(f"{context.get('message')} {frames.strip()}".replace("\n", " | "))
-
-    loop.set_exception_handler(told)
-
-
-def refuse_known(shared: Shared, trace: bytes) -> None:
-    """Guards the open request: a second under its id could not be told from a copy of it."""
-    if trace in shared.traces:
-        raise FramingError(409, "a request with this id is open, or was until lately")
-
-
 class PlatformFront:
     """Every request under `/api` goes to the one pool."""
 
@@ -54,10 +35,10 @@
             caller.answer(404, [], b"")
             return None
         if message.method not in METHODS:
-            caller.answer(405, [(b"Allow", b", ".join(sorted(METHODS)))], b"")
+            caller.answer(405, ALLOW, b"")
             return None
         event, left, trace = self._requests.read(message)
-        refuse_known(self._shared, trace)
+        refuse_known(self._shared.traces, trace)
         return partial(self._engine.client_gone, self._engine.arrive(caller, message, left, trace, event))
 
 
@@ -71,7 +52,7 @@
         spare = max(8, config.sockets - OWN_DESCRIPTORS)
         settings = config.settings
         past_ms = 2.0 * max(item.deadline_ms for item in settings.classes)
-        self.shared = Shared(loop, config.name, config.memory_mb, past_ms, spare * 9 // 20, spare // 2)
+        self.shared = Shared(loop, config.name, config.memory_mb, past_ms, spare)
         report_loop_errors(loop, self.shared.journal)
         plan = PoolPlan(settings, config.seed, spare // 2, config.drain_grace_ms, config.report_names)
         found = DiscoveryPlan(
