One check for addresses, errors, files and free ports; a pool's content is taken once a version

The model checked addresses beside parse_address; three places turned a check's errors into a refusal and two a document's errors into a check's; propose read its file twice, and one not in UTF-8 ended in a traceback; every pool wrote out all classes and tenants anew when a version was staged. Change: read_address serves the settings and the model; DocumentError is a CheckError; refusing() and checked_text serve socket and service; a proposal's file is read once; free_port in standins.

--- a/benchmarks/start.py
+++ b/benchmarks/start.py
@@ -20,15 +20,14 @@
 from pathlib import Path
 
 from standins.platform import config_data, entry
+from standins.ports import free_port
 
 ROOT = Path(__file__).parent.parent
 
 
 def once(checkout: Path, directory: str) -> tuple[float, float]:
     """Milliseconds until it accepts, and megabytes resident."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port = int(probe.getsockname()[1])
+    port = free_port()
     config = Path(directory) / "config.json"
     config.write_text(json.dumps(config_data([entry("s", 1)], 1, listen=f"127.0.0.1:{port}")))
     env = dict(os.environ) | {"GW_CONFIG": str(config), "PYTHONPATH": str(checkout)}
--- a/benchmarks/through.py
+++ b/benchmarks/through.py
@@ -15,7 +15,6 @@
 import json
 import os
 import signal
-import socket
 import statistics
 import sys
 import tempfile
@@ -26,6 +25,7 @@
 import uvloop
 
 from standins.platform import config_data, entry
+from standins.ports import free_port
 
 ROOT = Path(__file__).parent.parent
 BODY = b"x" * 200
@@ -85,12 +85,6 @@
     server.close()
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 async def spawn(
     *arguments: str, cores: set[int], env: dict[str, str] | None = None, cwd: str | Path = ROOT
 ) -> asyncio.subprocess.Process:
--- a/larkweir/cli.py
+++ b/larkweir/cli.py
@@ -17,8 +17,8 @@
 from collections.abc import Callable, Sequence
 from typing import Any, TextIO
 
-from larkweir.config.check import Checked, CheckError, check
-from larkweir.config.document import DocumentError, read
+from larkweir.config.check import Checked, check_file, check_text
+from larkweir.config.document import CheckError, Problem, read_bytes
 from larkweir.control.client import Client, UnreachableError
 
 OK, FAILED, USAGE, UNREACHABLE, CONFLICT, BUSY = range(6)
@@ -99,17 +99,9 @@
 # ------------------------------------------------ checking
 
 
-def load(path: str) -> Checked:
-    """A checked configuration out of a file; CheckError has all that is wrong with it."""
-    try:
-        return check(read(path))
-    except DocumentError as failure:
-        raise CheckError([failure.problem]) from None
-
-
 def _check(args: argparse.Namespace, out: TextIO, err: TextIO) -> int:
     try:
-        problems, valid = list(load(args.file).warnings), True
+        problems, valid = list(check_file(args.file).warnings), True
     except CheckError as failure:
         problems, valid = failure.problems, False
     if args.json:
@@ -130,10 +122,13 @@
 
 
 def _read_text(path: str) -> str:
-    """The file's text, refused here if it is no document, so that the errors name the file and its lines."""
-    load(path)
-    with open(path, encoding="utf-8") as file:
-        return file.read()
+    """The file's text, refused here if it has errors, so that these name the file and its lines."""
+    data = read_bytes(path)
+    check_text(data, path)
+    try:
+        return data.decode()
+    except UnicodeDecodeError as problem:
+        raise CheckError([Problem(path, 0, "", f"not UTF-8: {problem.reason}")]) from None
 
 
 def _arguments(args: argparse.Namespace) -> dict[str, Any]:
@@ -177,7 +172,7 @@
     if args.json:
         print(json.dumps(answer), file=out)
     elif answer.get("ok"):
-        _print(args.verb, answer, out, err)
+        PRINTERS[args.verb](answer, out, err)
     else:
         print(f"larkweir: {answer.get('why')}: {answer.get('text')}", file=err)
         for line in answer.get("problems", []):
@@ -258,10 +253,6 @@
 }
 
 
-def _print(verb: str, answer: dict[str, Any], out: TextIO, err: TextIO) -> None:
-    PRINTERS[verb](answer, out, err)
-
-
 # ------------------------------------------------ serving
 
 
@@ -269,7 +260,7 @@
     import uvloop
 
     try:
-        checked = load(args.file)
+        checked = check_file(args.file)
     except CheckError as failure:
         for problem in failure.problems:
             print(problem, file=err)
@@ -313,7 +304,7 @@
     except (HistoryError, ControlError, StageError, CheckError, OSError) as problem:
         print(f"larkweir: {problem}", file=err)
         return FAILED
-    loop.add_signal_handler(signal.SIGHUP, Reload(service, args.file, load).ask)
+    loop.add_signal_handler(signal.SIGHUP, Reload(service, args.file).ask)
     settle_collector()
     service.journal.line(
         f"version {service.transactions.in_force.number} in force; control at {args.control}"
--- a/larkweir/config/check.py
+++ b/larkweir/config/check.py
@@ -15,7 +15,7 @@
 from pydantic import ValidationError
 from pydantic_core import ErrorDetails
 
-from larkweir.config.document import Document, DocumentError, Path, Problem, parse
+from larkweir.config.document import CheckError, Document, Path, Problem, parse, read
 from larkweir.config.model import Class, Configuration, HeaderMatch, Match, Pool, Target, Weighted
 from larkweir.config.model import Route as RouteModel
 from larkweir.routing.table import Answer, HeaderTest, Route, RouteTable, Split, Test, unreachable
@@ -51,14 +51,6 @@
     warnings: tuple[Problem, ...]
 
 
-class CheckError(ValueError):
-    """The configuration has errors; `problems` are all of them, warnings included, in the file's order."""
-
-    def __init__(self, problems: list[Problem]) -> None:
-        super().__init__("; ".join(map(str, problems[:3])))
-        self.problems = problems
-
-
 def _shown(value: Any) -> str:
     text = repr(value) if not isinstance(value, dict | list) else f"a {type(value).__name__}"
     return {"a dict": "a mapping", "a list": "a list"}.get(
@@ -290,11 +282,12 @@
 
 def check_text(text: str | bytes, file: str = "configuration") -> Checked:
     """Text to a checked configuration; CheckError also where it is no document."""
-    try:
-        document = parse(text, file)
-    except DocumentError as failure:
-        raise CheckError([failure.problem]) from None
-    return check(document)
+    return check(parse(text, file))
+
+
+def check_file(path: str) -> Checked:
+    """The same out of a file."""
+    return check(read(path))
 
 
 def _in_order(problems: list[Problem], document: Document) -> list[Problem]:
--- a/larkweir/config/document.py
+++ b/larkweir/config/document.py
@@ -45,11 +45,19 @@
         return f"{place}: {kind}{self.key + ': ' if self.key else ''}{self.text}"
 
 
-class DocumentError(ValueError):
+class CheckError(ValueError):
+    """The configuration has errors; `problems` are all of them, warnings included, in the file's order."""
+
+    def __init__(self, problems: list[Problem]) -> None:
+        super().__init__("; ".join(map(str, problems[:3])))
+        self.problems = problems
+
+
+class DocumentError(CheckError):
     """The text is no document. `problem` says where and why."""
 
     def __init__(self, problem: Problem) -> None:
-        super().__init__(str(problem))
+        super().__init__([problem])
         self.problem = problem
 
 
@@ -185,13 +193,18 @@
     return builder.document
 
 
-def read(path: str) -> Document:
-    """A document out of a file; one that is too large is refused before it is read."""
+def read_bytes(path: str) -> bytes:
+    """A file's text for `parse`; DocumentError if it is too large, before it is read, or can't be read."""
     try:
         size = os.stat(path).st_size
         if size > MAX_BYTES:
             raise DocumentError(Problem(path, 0, "", f"{size} bytes; {MAX_BYTES} at most are read"))
         with open(path, "rb") as file:
-            return parse(file.read(MAX_BYTES + 1), path)
+            return file.read(MAX_BYTES + 1)
     except OSError as problem:
         raise DocumentError(Problem(path, 0, "", f"can't be read: {problem.strerror}")) from None
+
+
+def read(path: str) -> Document:
+    """A document out of a file."""
+    return parse(read_bytes(path), path)
--- a/larkweir/config/model.py
+++ b/larkweir/config/model.py
@@ -6,13 +6,12 @@
 
 from __future__ import annotations
 
-from ipaddress import IPv4Address
 from typing import Annotated, Literal, Self
 
 import re2
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, StringConstraints, model_validator
 
-FORMAT = 1
+from larkweir.core.address import read_address
 
 MAX_POOLS = 1_000
 MAX_ROUTES = 100_000
@@ -26,13 +25,7 @@
 
 
 def _address(text: str) -> str:
-    host, _, port = text.rpartition(":")
-    try:
-        IPv4Address(host)
-    except ValueError:
-        raise ValueError("an IPv4 address and port is wanted, as 127.0.0.1:8080") from None
-    if not (port.isascii() and port.isdigit() and len(port) <= 5 and int(port) <= 65535):
-        raise ValueError("a port from 0 to 65535 is wanted after the colon")
+    read_address(text)
     return text
 
 
--- a/larkweir/control/calls.py
+++ b/larkweir/control/calls.py
@@ -8,10 +8,10 @@
 
 import yaml
 
-from larkweir.config.check import Checked, CheckError, check_text
+from larkweir.config.check import Checked
 from larkweir.config.diff import diff
 from larkweir.config.transactions import Refusal, RefusedError, Version
-from larkweir.service.service import Service
+from larkweir.service.service import Service, checked_text
 
 MOST_TEXT = 500  # of a comment or a value shown
 
@@ -45,13 +45,8 @@
 
 
 async def _checked(call: dict[str, Any]) -> Checked:
-    """The call's text, checked in full on a thread: requests don't wait for a long file to be checked."""
-    text = _argument(call, "text", str).encode()
-    try:
-        return await asyncio.to_thread(check_text, text)
-    except CheckError as failure:
-        problems = [str(problem) for problem in failure.problems]
-        raise RefusedError(Refusal.INVALID, f"{len(problems)} problems", problems=problems) from None
+    """The call's text, checked on a thread: requests don't wait for a long file to be checked."""
+    return await asyncio.to_thread(checked_text, _argument(call, "text", str).encode())
 
 
 def version_row(version: Version, now_ms: float) -> dict[str, Any]:
--- a/larkweir/core/address.py
+++ b/larkweir/core/address.py
@@ -11,13 +11,21 @@
     """A value is missing or makes no sense; the message is one line that names key and value."""
 
 
-def parse_address(text: object, key: str) -> Address:
-    """`address:port`, as numbers: there is no DNS."""
-    host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+def read_address(text: str) -> Address:
+    """`address:port`, as numbers: there is no DNS. ValueError says what would be right."""
+    host, _, port = text.rpartition(":")
     try:
         IPv4Address(host)
     except AddressValueError:
-        raise ConfigError(f"{key}: {text!r} is not an IPv4 address and port") from None
+        raise ValueError("an IPv4 address and port is wanted, as 127.0.0.1:8080") from None
     if not port.isascii() or not port.isdigit() or len(port) > 5 or int(port) > 65535:
-        raise ConfigError(f"{key}: {text!r} is not an IPv4 address and port")
+        raise ValueError("a port from 0 to 65535 is wanted after the colon")
     return host, int(port)
+
+
+def parse_address(text: object, key: str) -> Address:
+    """As `read_address`, of whatever stands at a key; ConfigError names the key and the value."""
+    try:
+        return read_address(text if isinstance(text, str) else "")
+    except ValueError:
+        raise ConfigError(f"{key}: {text!r} is not an IPv4 address and port") from None
--- a/larkweir/service/pools.py
+++ b/larkweir/service/pools.py
@@ -39,18 +39,20 @@
     """A pool can't be made ready; the message says which and why."""
 
 
-def content_of(checked: Checked, name: str) -> str:
-    """What a pool is run by, as one word: pools of two versions that share it are the same pool."""
+def contents_of(checked: Checked) -> dict[str, str]:
+    """What each pool is run by, as one word: pools of two versions that share it are the same pool."""
     model = checked.model
-    parts = {
-        "name": name,
-        "pool": model.pools[name].model_dump(),
-        "classes": {key: item.model_dump() for key, item in model.classes.items()},
-        "order": list(model.classes),
-        "tenants": [(key, item.model_dump()) for key, item in model.tenants.items()],
-        "seed": model.seed,
+    common = json.dumps(
+        {
+            "classes": [(name, item.model_dump()) for name, item in model.classes.items()],
+            "tenants": [(name, item.model_dump()) for name, item in model.tenants.items()],
+            "seed": model.seed,
+        }
+    )
+    return {
+        name: sha256(json.dumps([common, name, pool.model_dump()]).encode()).hexdigest()
+        for name, pool in model.pools.items()
     }
-    return sha256(json.dumps(parts, sort_keys=True).encode()).hexdigest()
 
 
 class Book:
@@ -112,8 +114,7 @@
     def stage(self, checked: Checked) -> dict[str, RunningPool]:
         """The version's pools, those that there are already and new ones. Each is held once."""
         pools = {}
-        for name in checked.model.pools:
-            content = content_of(checked, name)
+        for name, content in contents_of(checked).items():
             pool = self.alive.get(content)
             if pool is None:
                 pool = self.alive[content] = self._make(name, content, checked)
--- a/larkweir/service/reload.py
+++ b/larkweir/service/reload.py
@@ -5,9 +5,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 
-from larkweir.config.check import Checked, CheckError
+from larkweir.config.check import Checked, check_file
+from larkweir.config.document import CheckError
 from larkweir.config.transactions import RefusedError
 from larkweir.core.again import Again
 from larkweir.service.service import Service
@@ -18,17 +18,16 @@
     the log.
     """
 
-    def __init__(self, service: Service, path: str, load: Callable[[str], Checked]) -> None:
+    def __init__(self, service: Service, path: str) -> None:
         self._service = service
         self._path = path
-        self._load = load
         self.ask = Again(self._read).ask
 
     async def _read(self) -> None:
         journal = self._service.journal
         try:
             # On a thread: requests don't wait for a disk or for a long file to be checked.
-            checked = await asyncio.to_thread(self._load, self._path)
+            checked = await asyncio.to_thread(check_file, self._path)
             self._commit(checked)
         except CheckError as failure:
             for problem in failure.problems[:5]:
--- a/larkweir/service/service.py
+++ b/larkweir/service/service.py
@@ -9,13 +9,14 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import Any
 
 from larkweir.config import transactions as tx
-from larkweir.config.check import Checked, CheckError, check, check_text
+from larkweir.config.check import Checked, check, check_text
 from larkweir.config.diff import diff
-from larkweir.config.document import Document
+from larkweir.config.document import CheckError, Document
 from larkweir.config.history import History, Saved
 from larkweir.config.transactions import Refusal, RefusedError, State, Transactions, Version
 from larkweir.config.yield_watch import YieldWatch
@@ -37,6 +38,22 @@
     return check(Document("configuration", data))
 
 
+@contextmanager
+def refusing() -> Iterator[None]:
+    """What a check finds wrong refuses the call that asked for it, with every problem."""
+    try:
+        yield
+    except CheckError as failure:
+        errors = [str(problem) for problem in failure.problems]
+        raise RefusedError(Refusal.INVALID, f"{len(errors)} problems", problems=errors) from None
+
+
+def checked_text(text: bytes) -> Checked:
+    """Text checked in full; RefusedError."""
+    with refusing():
+        return check_text(text)
+
+
 class Service:
     """One process. `start` before anything else, `drain` at the end."""
 
@@ -140,8 +157,7 @@
         self, text: bytes, base: int | None, author: str = "", comment: str = "", merge: bool = False
     ) -> tx.Proposal:
         """Check text in full and keep it; RefusedError with every problem where it has errors."""
-        checked = self._checked(text)
-        return self.propose_checked(checked, base, author, comment, merge, len(text))
+        return self.propose_checked(checked_text(text), base, author, comment, merge, len(text))
 
     def propose_checked(
         self,
@@ -155,17 +171,6 @@
         number = self.transactions.in_force.number if base is None else base
         return self.transactions.propose(self.now_ms, number, checked, author, comment, merge, size)
 
-    def _checked(self, text: bytes) -> Checked:
-        try:
-            return check_text(text)
-        except CheckError as failure:
-            raise self._invalid(failure) from None
-
-    @staticmethod
-    def _invalid(failure: CheckError) -> RefusedError:
-        errors = [str(problem) for problem in failure.problems]
-        return RefusedError(Refusal.INVALID, f"{len(errors)} problems", problems=errors)
-
     def commit(self, proposal: int, confirm_within_ms: float | None = None, watched: bool = True) -> Version:
         version = self.transactions.commit(self.now_ms, proposal, confirm_within_ms, watched)
         self._carry_out()
@@ -194,10 +199,8 @@
         data = self._history.content(to) if self._history is not None and confirmed else None
         if data is None:
             raise RefusedError(Refusal.UNKNOWN, f"there is no confirmed version {to}")
-        try:
+        with refusing():
             checked = check_data(data)
-        except CheckError as failure:
-            raise self._invalid(failure) from None
         return self.propose_checked(checked, None, author, f"back to version {to}")
 
     def discard(self, proposal: int) -> None:
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -21,6 +21,7 @@
 
 from standins.books import Books
 from standins.load import Load
+from standins.ports import free_port
 from standins.servers import FakeUpstream, Talk
 from standins.wire import Incoming, ok, read_answer
 
@@ -124,10 +125,7 @@
     for pool, spec in data["pools"].items():
         for name, server in spec["servers"].items():
             server["address"] = await tiers.start(pool, name)
-    listening = await asyncio.start_server(lambda reader, writer: writer.close(), "127.0.0.1", 0)
-    tiers.port = listening.sockets[0].getsockname()[1]
-    listening.close()
-    await listening.wait_closed()
+    tiers.port = free_port()
     data["listeners"]["front"]["address"] = f"127.0.0.1:{tiers.port}"
     first = Path(directory) / "first.yaml"
     first.write_text(yaml.safe_dump(data, sort_keys=False))
--- a/tests/control/test_control.py
+++ b/tests/control/test_control.py
@@ -276,6 +276,14 @@
     assert command("status", "--control", str(tmp_path / "no.sock"))[0] == 3
 
 
+def test_a_file_in_another_coding_is_refused_without_a_traceback(tmp_path: Path) -> None:
+    path = tmp_path / "wide.yaml"
+    example = Path(__file__).parent.parent.parent / "deploy" / "own-example.yaml"
+    path.write_text(example.read_text(), encoding="utf-16")
+    code, _, err = command("propose", str(path))
+    assert code == 1 and f"{path}: not UTF-8" in err
+
+
 def test_the_verbs_and_their_exit_codes(tmp_path: Path) -> None:
     async def work() -> None:
         async with controlled(tmp_path) as (kept, farm, path):
--- a/tests/service/test_program.py
+++ b/tests/service/test_program.py
@@ -20,9 +20,9 @@
 from larkweir.control.framing import encode
 from standins.callers import Caller
 from standins.load import Load
+from standins.ports import free_port
 from standins.wire import PATIENCE_S
 from tests.service.harness import Farm, run
-from tests.test_process import free_port
 
 ROOT = Path(__file__).parent.parent.parent
 
--- a/tests/service/test_versions.py
+++ b/tests/service/test_versions.py
@@ -17,6 +17,7 @@
 from mulleinhitch.interface import ServerState
 from standins.callers import Caller
 from standins.load import Load
+from standins.ports import free_port
 from standins.servers import Talk
 from standins.wire import Incoming, ok
 from tests.service.harness import Farm, Kept, run, serving
@@ -302,9 +303,7 @@
 def test_listeners_come_and_go_and_come_back_with_a_rollback() -> None:
     async def work() -> None:
         farm = await Farm().start("a1", "o1")
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            port = int(probe.getsockname()[1])
+        port = free_port()
         first = farm.config(farm.pool("a1"), farm.pool("o1"))
         first["listeners"]["back"] = {"address": f"127.0.0.1:{port}"}
         async with serving(first) as kept, Caller(port) as before:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -7,7 +7,6 @@
 import os
 import resource
 import signal
-import socket
 import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -16,6 +15,7 @@
 
 import pytest
 
+from standins.ports import free_port
 from tests.fakes import (
     PATIENCE_S,
     SETTINGS,
@@ -33,12 +33,6 @@
 ROOT = Path(__file__).parent.parent
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 async def spawn(path: Path, descriptors: int | None = None, **more: str) -> asyncio.subprocess.Process:
     def limit() -> None:
         assert descriptors is not None
