Advice as an input of the decision module: weights, ramps that copies share, bounds

Each balancer decides alone; forwarders and planners need a way for what planners see to reach the draw. mulleinhitch/advice holds what counts: the median of the planners' weights, parts in a cold server's stated ramp that never sum to more than one (a token bucket a copy, leases, a safe part for any number of copies up to the configured one), and the part of what the tier bears. All of it lapses and slides; advice out of bounds is refused whole with a reason. Nothing advises yet; without advice the draws are those of before.

--- a/mulleinhitch/interface.py
+++ b/mulleinhitch/interface.py
@@ -140,6 +140,10 @@
     answer_slack_ms: float = 5.0
     cold_share: float = 0.1
     cold_ms: float = 30_000.0
+    # The ramp of a cold server: calls a second that a warm one may be sent, and calls at once beyond it, from
+    # all copies together. 0 for the first: each copy goes by its own traffic; for the second: one a copy.
+    ramp_per_s: float = 0.0
+    ramp_burst: float = 0.0
     fall_multiple: float = 2.0
     fall_ms: float = 2_000.0
     max_attempts: int = 1
@@ -183,6 +187,10 @@
         _check("", "cold_share", self.cold_share, 0.0, 1.0)
         if self.my_zone >= self.zones:
             raise SettingsError(f"my_zone: {self.my_zone!r} is not below the number of zones, {self.zones}")
+        if self.ramp_per_s and self.me >= self.copies:
+            raise SettingsError(f"me: {self.me!r} is not below the number of copies, {self.copies}")
+        if 0.0 < self.ramp_burst < 1.0:
+            raise SettingsError(f"ramp_burst: {self.ramp_burst!r} lets no call through; 1 is the least")
 
 
 # Events: what the caller tells the module.
@@ -199,6 +207,7 @@
     zone: int = 0
     cell: int = 0
     kind: int = 0
+    label: int = 0  # the same for this server in every copy; only where copies share a ramp
 
 
 @dataclass(slots=True)
@@ -276,6 +285,49 @@
     payload: bytes = b""
 
 
+@dataclass(slots=True, frozen=True)
+class Weight:
+    """How much of the draws that it would have a server keeps, from 0 to 1."""
+
+    server: int
+    weight: float
+
+
+@dataclass(slots=True, frozen=True)
+class Part:
+    """A copy's part in the ramp of a cold server: of its rate, from 0 to 1, and calls at once."""
+
+    server: int
+    rate: float
+    burst: float
+
+
+@dataclass(slots=True)
+class Guidance:
+    """A planner's advice. It counts until `until_ms`, of this copy's own time.
+
+    `weights` of None leave those it gave before. `parts` and `own_part`, of what the tier bears, count where
+    this copy has `lent` its own parts to that planner, which are others' until `lent_until_ms`. `begun_ms` is
+    when the report was sent that it answers.
+    """
+
+    planner: str
+    begun_ms: float
+    until_ms: float
+    weights: Sequence[Weight] | None = None
+    lent: bool = False
+    lent_until_ms: float = 0.0
+    parts: Sequence[Part] = ()
+    own_part: float | None = None
+
+
+@dataclass(slots=True)
+class Lent:
+    """This copy's own parts in ramps are others' until then, whatever is advised."""
+
+    until_ms: float
+
+
 Event = (
     ListUpdate
     | RequestArrived
@@ -286,6 +338,8 @@
     | TimerFired
     | ProbeEnded
     | PeerMessage
+    | Guidance
+    | Lent
 )
 
 
@@ -361,4 +415,25 @@
     text: str
 
 
-Action = Send | Cancel | Refuse | Fail | SetTimer | Probe | CloseIdle | TellPeer | FetchList | WatchList | Log
+@dataclass(slots=True)
+class GuidanceRefused:
+    """Advice was out of bounds, and none of it counts."""
+
+    planner: str
+    why: str
+
+
+Action = (
+    Send
+    | Cancel
+    | Refuse
+    | Fail
+    | SetTimer
+    | Probe
+    | CloseIdle
+    | TellPeer
+    | FetchList
+    | WatchList
+    | Log
+    | GuidanceRefused
+)
--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -16,6 +16,7 @@
 from itertools import chain
 from random import Random
 
+from mulleinhitch.advice import Guide, SharedRamp
 from mulleinhitch.interface import (
     NEVER_RAN,
     Action,
@@ -28,6 +29,8 @@
     Event,
     Fail,
     Group,
+    Guidance,
+    Lent,
     ListKind,
     ListUpdate,
     Outcome,
@@ -94,6 +97,7 @@
         "failing_ms",
         "id",
         "kind",
+        "label",
         "linked",
         "outstanding",
         "shunned",
@@ -121,6 +125,7 @@
         self.failing_ms = 0.0  # it has failed a call at once, and has no other until then
         self.ejected = False
         self.kind = entry.kind
+        self.label = entry.label
         # By class: its failures in a row, and until when its token does not count for that class.
         self.shunned: dict[int, tuple[int, float]] = {}
         self.slowness: float | None = (
@@ -591,7 +596,8 @@
         self.rng = Random(seed)
         self.fleet = Fleet(settings)
         self.legality = Legality(settings)
-        self.slow_start = SlowStart(settings, self.rng)
+        self.guide = Guide(settings, self.rng)
+        self.slow_start: SlowStart | SharedRamp = self.guide.ramp or SlowStart(settings, self.rng)
         self.links = Links(settings)
         self.requests: dict[int, Request] = {}
         self.held: dict[int, Request] = {}
@@ -645,6 +651,8 @@
             AnswerStarted: self._on_answer_started,
             Unrepeatable: self._on_unrepeatable,
             PeerMessage: self._on_peer,
+            Guidance: self._on_guidance,
+            Lent: lambda event: self.guide.lend(event.until_ms, self.now),
         }
 
     def handle(self, now_ms: float, event: Event) -> list[Action]:
@@ -777,6 +785,8 @@
         bad = server.shunned.get(request.class_index)
         if server.ejected or (bad is not None and bad[1] > self.now):
             return True
+        if self.guide.declines(server.id, self.now):
+            return True
         return any(a.server is server and a.outcome is not Outcome.OK for a in request.attempts)
 
     def _draw_from(self, lists: list[DrawList], request: Request) -> Server | None:
@@ -1043,7 +1053,7 @@
         """
         queued = (self._stretch - self.UNQUEUED) / (self.QUEUED - self.UNQUEUED)
         queued = min(1.0, max(0.0, queued))
-        part = queued / self.settings.copies + (1.0 - queued)
+        part = queued * self.guide.own_part(self.now) + (1.0 - queued)
         return self.LEVEL * max(1, self.fleet.ready_count) * part
 
     @property
@@ -1258,6 +1268,12 @@
     def _on_peer(self, event: PeerMessage) -> None:
         pass
 
+    def _on_guidance(self, event: Guidance) -> None:
+        warm = [s.id for s in self.fleet.all_ready(None) if not self.slow_start.is_cold(s, self.now)]
+        refused = self.guide.take(event, self.fleet.servers, warm, self.now)
+        if refused is not None:
+            self.out.append(refused)
+
 
 UNTELLING = frozenset((Outcome.CANCELLED, Outcome.MOOT, Outcome.REJECTED))  # of the server's state
 IDLE_FIELD = (
--- a/mulleinhitch/succession.py
+++ b/mulleinhitch/succession.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from mulleinhitch.policy import Balancer, Server
+from mulleinhitch.policy import Balancer, Server, SlowStart
 
 
 def inherit(heir: Balancer, past: Balancer, linked: frozenset[int] = frozenset()) -> int:
@@ -17,7 +17,9 @@
     servers.
     """
     same_classes = list(heir.settings.classes) == list(past.settings.classes)
-    heir.slow_start._credit = min(heir.slow_start._credit, past.slow_start._credit)
+    if isinstance(heir.slow_start, SlowStart) and isinstance(past.slow_start, SlowStart):
+        heir.slow_start._credit = min(heir.slow_start._credit, past.slow_start._credit)
+    heir.guide.inherit(past.guide)
     heir._retries = min(heir._retries, past._retries)
     if same_classes:
         _inherit_latency(heir, past)
