--- a/larkweir/config/check.py
+++ b/larkweir/config/check.py
@@ -159,10 +159,24 @@
                     ("listeners", name, "address"), f"{listener.address!r} is listener {first!r}'s already"
                 )
 
+    def _place(self, name: str, pool: Pool) -> None:
+        planning = self._model.planning
+        shared = pool.ramp_per_s > 0.0 or (planning is not None and planning.planners and pool.planned)
+        place = planning.place if planning is not None else 0
+        if shared and place >= pool.copies:
+            path: Path = ("planning", "place")
+            self._error(path, f"{place}: pool {name!r} has {pool.copies} copies, with places from 0 on")
+        if pool.ramp_per_s and pool.copies > 1 and planning is None:
+            self._error(
+                ("pools", name, "ramp_per_s"),
+                f"{pool.copies} copies share it; planning.place must say which of them this one is",
+            )
+
     def _pools(self) -> None:
         for name, pool in self._model.pools.items():
             if name not in self.used:
                 self._warn(("pools", name), "no route leads to this pool")
+            self._place(name, pool)
             if pool.servers is None:
                 continue
             if not any(server.state == "ready" for server in pool.servers.values()):
@@ -245,7 +259,10 @@
     return Settings(
         classes=[_request_class(name, item) for name, item in model.classes.items()],
         tenants=[Tenant(item.quota_per_s, item.fraction, name) for name, item in model.tenants.items()],
+        me=model.planning.place if model.planning is not None else 0,
         copies=pool.copies,
+        ramp_per_s=pool.ramp_per_s,
+        ramp_burst=pool.ramp_burst,
         tier=pool.tier,
         tiers=pool.tier + 1,
         on_request_discovery=bool(pool.source and pool.source.ask),
--- a/larkweir/config/model.py
+++ b/larkweir/config/model.py
@@ -55,6 +55,7 @@
 
 AddressText = Annotated[str, AfterValidator(_address)]
 Pattern = Annotated[str, StringConstraints(max_length=1024), AfterValidator(_pattern)]
+KeyText = Annotated[str, StringConstraints(pattern=r"^[0-9a-fA-F]{64}$")]  # 32 bytes
 PathText = Annotated[str, StringConstraints(max_length=4096), AfterValidator(_path)]
 
 
@@ -181,6 +182,11 @@
     cold_ms: Annotated[float, Field(ge=0, le=3_600_000)] = 30_000.0
     new_servers: Literal["cold", "warm"] = "cold"
     copies: Annotated[int, Field(ge=1, le=10_000)] = 1  # balancers that send to these servers
+    # What a cold server may be sent by all copies together: calls a second once it is warm, and calls at
+    # once beyond that (0: one a copy). 0 for the first: each copy goes by its own traffic.
+    ramp_per_s: Annotated[float, Field(ge=0, le=1e6)] = 0.0
+    ramp_burst: Annotated[float, Field(ge=0, le=1e6)] = 0.0
+    planned: bool = True  # reported to planners, where there are any
     # Its place in the chain of calls. Only the first, 0, refuses before work is spent on a request above it.
     tier: Annotated[int, Field(ge=0, le=15)] = 0
     # Whether a change that brings this pool is refused while none of its servers can be connected to.
@@ -190,6 +196,8 @@
     def _one_origin(self) -> Self:
         if (self.servers is None) == (self.source is None):
             raise ValueError("either servers or source is wanted, and not both")
+        if 0.0 < self.ramp_burst < 1.0:
+            raise ValueError(f"ramp_burst {self.ramp_burst:g} lets no call through; 1 is the least")
         return self
 
 
@@ -303,6 +311,46 @@
     enabled: bool = True
 
 
+class PlannerPeer(Model):
+    """A planner, and its public key where keys are Ed25519."""
+
+    address: AddressText
+    public_key: KeyText | None = None
+
+
+class Planning(Model):
+    """This process as one of several forwarders: which of them it is, and which planners it speaks to, in the
+    order in which its parts are lent to them. docs/operators/planning.md
+    """
+
+    name: Name | None = None  # at the planners; `forwarder-PLACE` if none is given
+    place: Annotated[int, Field(ge=0, le=9_999)] = 0  # from 0 on; no two forwarders may have the same
+    planners: Annotated[dict[Name, PlannerPeer], Field(max_length=16)] = {}
+    shared_key_file: str | None = None
+    private_key_file: str | None = None
+    report_ms: Annotated[float, Field(ge=50, le=10_000)] = 250.0
+    bytes_per_s: Annotated[float, Field(ge=4_096, le=1e8)] = 65_536.0  # to each planner, at most
+    most_lease_ms: Annotated[float, Field(ge=100, le=600_000)] = 10_000.0
+    hold_ms: Annotated[float, Field(ge=0, le=600_000)] = 5_000.0
+    shun_ms: Annotated[float, Field(ge=100, le=600_000)] = 10_000.0
+
+    @model_validator(mode="after")
+    def _keys(self) -> Self:
+        if not self.planners:
+            return self
+        if (self.shared_key_file is None) == (self.private_key_file is None):
+            raise ValueError("either shared_key_file or private_key_file is wanted, and not both")
+        for name, peer in self.planners.items():
+            if (peer.public_key is None) == (self.private_key_file is not None):
+                verb = "is wanted with" if peer.public_key is None else "has no use without"
+                raise ValueError(f"planners.{name}.public_key {verb} private_key_file")
+        return self
+
+    @property
+    def forwarder(self) -> str:
+        return self.name or f"forwarder-{self.place}"
+
+
 class Configuration(Model):
     """One whole configuration. `format` is that of the file."""
 
@@ -311,6 +359,7 @@
     seed: Annotated[int, Field(ge=0, lt=2**63)] = 0
     limits: Limits = Limits()
     watch: Watch = Watch()
+    planning: Planning | None = None
     listeners: Annotated[dict[Name, Listener], Field(min_length=1, max_length=64)]
     classes: Annotated[dict[Name, Class], Field(min_length=1, max_length=250)]
     default_class: Name | None = None  # of a request that names none
--- a/larkweir/core/address.py
+++ b/larkweir/core/address.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ipaddress import AddressValueError, IPv4Address
+from zlib import crc32
 
 Address = tuple[str, int]
 
@@ -29,3 +30,12 @@
         return read_address(text if isinstance(text, str) else "")
     except ValueError:
         raise ConfigError(f"{key}: {text!r} is not an IPv4 address and port") from None
+
+
+def spell(address: Address) -> str:
+    return f"{address[0]}:{address[1]}"
+
+
+def label_of(address: str) -> int:
+    """The number of a server, by its address as `host:port`, that all copies and planners agree on."""
+    return crc32(address.encode())
--- a/larkweir/engine.py
+++ b/larkweir/engine.py
@@ -6,11 +6,12 @@
 
 import traceback
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 from functools import partial
 from typing import NamedTuple, Protocol
 
+from larkweir.core.address import spell
 from larkweir.core.clock import Timer
 from larkweir.core.flow import Flow, Side, Sink
 from larkweir.core.message import Headers, Message
@@ -28,6 +29,9 @@
     Event,
     Fail,
     FetchList,
+    Guidance,
+    GuidanceRefused,
+    Lent,
     ListKind,
     ListUpdate,
     Log,
@@ -181,6 +185,14 @@
         """Tell the whole list as last known, or fetch it."""
 
 
+class Observer(Protocol):
+    """Hears what a pool's balancer is given and what it decides; it changes nothing."""
+
+    def saw(self, event: Event, actions: Sequence[Action]) -> None: ...
+
+    def hear_list(self, update: ListUpdate, addresses: Sequence[str]) -> None: ...
+
+
 SourceMaker = Callable[[Callable[[Listing], None], Callable[[str], None]], Source]
 
 
@@ -231,6 +243,8 @@
         self._busy = False
         reports = settings.report_mode is not ReportMode.OFF
         self._report_names = plan.report_names if reports else ()
+        self.observer: Observer | None = None
+        self._refusals_to: Callable[[GuidanceRefused], None] = lambda refused: None
         self._inline = reports and settings.report_mode is ReportMode.INLINE
         self._probe_target = b"/status/load" if reports else b"/health"
 
@@ -305,7 +319,25 @@
         for entry, address in zip(listing.entries, listing.addresses, strict=True):
             self._entries[entry.server] = entry
             self.upstreams.update(entry.server, address, entry.state, entry.started_ms)
-        self._deliver(ListUpdate(listing.kind, listing.version, listing.entries))
+        update = ListUpdate(listing.kind, listing.version, listing.entries)
+        if self.observer is not None:
+            self.observer.hear_list(update, list(map(spell, listing.addresses)))
+        self._deliver(update)
+
+    def advise(self, event: Guidance | Lent) -> None:
+        """What planners say reaches the balancer as any event does."""
+        self._deliver(event)
+
+    def refusals_to(self, told: Callable[[GuidanceRefused], None]) -> None:
+        """Who hears of advice that the balancer has refused."""
+        self._refusals_to = told
+
+    def observe(self, observer: Observer) -> None:
+        """From here on it is told of everything, with the list as it is now."""
+        self.observer = observer
+        entries = [replace(row) for row in self._entries.values() if row.server in self.upstreams.table]
+        update = ListUpdate(ListKind.FULL, 0, entries)
+        observer.hear_list(update, [spell(self.upstreams.table[row.server].address) for row in entries])
 
     def withdraw(self, keep: frozenset[int], told_ms: float) -> None:
         """Nothing new goes to any server but those to keep: another configuration in force since `told_ms`
@@ -353,7 +385,10 @@
 
     def _step(self, event: Event) -> None:
         try:
-            for action in self.balancer.handle(self.clock.now_ms(), event):
+            actions = self.balancer.handle(self.clock.now_ms(), event)
+            if self.observer is not None:
+                self.observer.saw(event, actions)
+            for action in actions:
                 self._act(action)
         except Exception as problem:
             # Guards the other requests: whatever went wrong with this one, it alone is answered 500.
@@ -396,6 +431,8 @@
             self.source.watch(action.active)
         elif isinstance(action, Log):
             self.journal.line(action.text)
+        elif isinstance(action, GuidanceRefused):
+            self._refusals_to(action)
         else:
             self.journal.line(f"{type(action).__name__} is not built")
 
--- a/larkweir/planning/forwarder.py
+++ b/larkweir/planning/forwarder.py
@@ -140,6 +140,10 @@
 
     def add_pool(self, name: str, settings: Settings, observer: Observer) -> list[Action]:
         """A pool, or another version of it. Its balancer must know at once what is lent."""
+        known = self.pools.get(name)
+        if known is not None and known.observer is observer:
+            known.settings = settings
+            return [Advise(name, Lent(self.bound_ms))]
         self.drop_pool(name)
         self.pools[name] = _Pool(name, settings, observer)
         for side in self.sides.values():
--- a/larkweir/planning/load.py
+++ b/larkweir/planning/load.py
@@ -12,19 +12,14 @@
 from hashlib import blake2b
 from itertools import chain
 from weakref import WeakValueDictionary
-from zlib import crc32
 
+from larkweir.core.address import label_of as label_of
 from larkweir.planning.messages import PoolReport, Row, WeightRow
 
 MOST_SERVERS = 20_000  # that a session may name in a pool
 STEP = 0.05  # weights are given in steps of it, so that they are not sent anew for nothing
 
 
-def label_of(address: str) -> int:
-    """The number of a server that all copies and planners agree on."""
-    return crc32(address.encode())
-
-
 @dataclass(slots=True, frozen=True)
 class Judgement:
     """How much of its draws a server should keep, and the evidence."""
--- a/larkweir/planning/messages.py
+++ b/larkweir/planning/messages.py
@@ -69,6 +69,7 @@
     left: list[Count] = []
     demand: dict[Name, Count] = {}
     held: list[PartRow] = []
+    anew: bool = False  # the forwarder numbers servers from 0 again, and counts what it says anew
 
 
 class Report(Struct, tag="report"):
@@ -143,3 +144,66 @@
         return _decoder.decode(payload)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as problem:
         raise BadMessageError(str(problem)) from None
+
+
+# ---------------------------------------------------------------- before anyone is known
+
+
+Key = Annotated[bytes, Meta(min_length=32, max_length=32)]
+Signature = Annotated[bytes, Meta(min_length=32, max_length=64)]
+
+
+class Hello(Struct, tag="hello"):
+    """A forwarder's first words. `knows` is the highest epoch of this planner's that it has seen: a planner
+    whose own is not above that has been started with an earlier time, and takes the next.
+    """
+
+    versions: Annotated[list[Count], Meta(min_length=1, max_length=16)]
+    name: Name
+    planner: Name  # whom it means to speak to
+    method: Annotated[str, Meta(max_length=16)]
+    ephemeral: Key  # X25519
+    knows: Serial = 0
+
+
+class WelcomeBody(Struct):
+    version: Count
+    name: Name
+    epoch: Serial
+    ephemeral: Key
+
+
+class Welcome(Struct, tag="welcome"):
+    """`body` is a `WelcomeBody`, as bytes, since these are what `proof` is made over."""
+
+    body: Annotated[bytes, Meta(max_length=512)]
+    proof: Signature
+
+
+class Proof(Struct, tag="proof"):
+    proof: Signature
+
+
+Handshake = Hello | Welcome | Proof | Bye
+
+_hands: msgspec.msgpack.Decoder[Handshake] = msgspec.msgpack.Decoder(Handshake)
+_body: msgspec.msgpack.Decoder[WelcomeBody] = msgspec.msgpack.Decoder(WelcomeBody)
+
+
+def encode_handshake(message: Handshake | WelcomeBody) -> bytes:
+    return _encoder.encode(message)
+
+
+def decode_handshake(payload: bytes) -> Handshake:
+    """BadMessageError."""
+    try:
+        return _hands.decode(payload)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as problem:
+        raise BadMessageError(str(problem)) from None
+
+
+def decode_body(payload: bytes) -> WelcomeBody:
+    try:
+        return _body.decode(payload)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as problem:
+        raise BadMessageError(str(problem)) from None
--- a/larkweir/planning/observer.py
+++ b/larkweir/planning/observer.py
@@ -64,6 +64,7 @@
 
     def __init__(self, observer: Observer) -> None:
         self._observer = observer
+        self._first = True
         self._numbers: dict[int, int] = {}  # the session's number of a server
         self._servers: list[int] = []  # and the server of a number
         self._totals: dict[int, Seen] = {}
@@ -87,7 +88,8 @@
         First what names servers, then what they have become, then the rows: those that changed most. What
         doesn't fit stays for the next report, and loses nothing, since rows carry all since the last.
         """
-        report = PoolReport(pool)
+        report = PoolReport(pool, anew=self._first)
+        self._first = False
         budget = self._name(report, budget)
         budget = self._list(report, now_ms, budget)
         report.demand = {
@@ -190,6 +192,9 @@
         self.listed: dict[int, Listed] = {}
         self.audience: set[Told] = set()
 
+    def fits(self, classes: Sequence[str], cold_ms: float) -> bool:
+        return list(self._classes) == list(classes) and self._cold_ms == cold_ms
+
     @property
     def demand(self) -> dict[str, int]:
         return {name: count for name, count in zip(self._classes, self._counts, strict=True) if count}
--- a/larkweir/planning/planner.py
+++ b/larkweir/planning/planner.py
@@ -110,6 +110,10 @@
         member.conflict = ""
         for item in report.pools:
             self._take(member, item, report, now_ms)
+        named = {item.pool for item in report.pools}
+        for pool, plan in self.pools.items():
+            if pool not in named and name in plan.load.members:
+                self._leave_pool(plan, name)
         lending = report.lends and member.taken[0] > 0 and not member.conflict
         until_ms = member.taken[1] + self.terms.lend_ms
         for plan in self.pools.values():
@@ -136,6 +140,8 @@
         plan = self.pools.get(item.pool)
         if plan is None:
             plan = self.pools[item.pool] = PoolPlan(item.pool)
+        if item.anew:
+            plan.load.new_session(member.name)
         member.conflict = member.conflict or self._placed(plan, member, item)
         wrong = plan.load.take(member.name, item, report.span_ms)
         if wrong is not None:
@@ -191,11 +197,15 @@
         del self.members[name]
         self._applied.pop(name, None)
         for plan in self.pools.values():
-            load = plan.load.members.get(name)
-            if load is not None and plan.lenders is not None and plan.places.get(load.me) == name:
-                plan.lenders.end(load.me)
-                del plan.places[load.me]
-            plan.load.drop(name)
+            self._leave_pool(plan, name)
+
+    @staticmethod
+    def _leave_pool(plan: PoolPlan, name: str) -> None:
+        load = plan.load.members.get(name)
+        if load is not None and plan.lenders is not None and plan.places.get(load.me) == name:
+            plan.lenders.end(load.me)
+            del plan.places[load.me]
+        plan.load.drop(name)
 
     # ------------------------------------------------ advice
 
--- a/larkweir/service/pools.py
+++ b/larkweir/service/pools.py
@@ -47,6 +47,7 @@
             "classes": [(name, item.model_dump()) for name, item in model.classes.items()],
             "tenants": [(name, item.model_dump()) for name, item in model.tenants.items()],
             "seed": model.seed,
+            "place": model.planning.place if model.planning is not None else 0,
         }
     )
     return {
--- a/larkweir/service/service.py
+++ b/larkweir/service/service.py
@@ -25,6 +25,7 @@
 from larkweir.core.shared import Shared
 from larkweir.draining import drain
 from larkweir.listener import Listener
+from larkweir.service.forwarding import Forwarding
 from larkweir.service.pools import Pools, StageError
 from larkweir.service.versions import Front, RequestRecord, RunningVersion
 
@@ -77,6 +78,7 @@
         self.front.came = self._came
         self.front.freed = self._free
         self.pools = Pools(self.shared)
+        self.forwarding = Forwarding(self.shared, model.seed)
         self.watch = self._new_watch(first)
         self.record: Callable[[RequestRecord], None] = lambda record: None
         self.running: dict[int, RunningVersion] = {}
@@ -135,6 +137,7 @@
 
     async def close(self) -> None:
         self.stopping = True
+        self.forwarding.close()
         for listener in [*self.listeners.values(), *self._leaving]:
             listener.close()
         for staged in self._staged_listeners.values():
@@ -267,6 +270,7 @@
     def _build(self, version: Version) -> RunningVersion:
         """Pools and bound listeners beside what runs; StageError leaves nothing behind."""
         model = version.checked.model
+        self.forwarding.check(model)
         bound: dict[str, Listener] = {}
         for name, spec in model.listeners.items():
             key = _listener_key(name, spec.address)
@@ -323,6 +327,7 @@
         running.retired = False
         self._set_limits(version.checked)
         self.pools.enter(running.pools, before.pools if before else {}, self.now_ms, first)
+        self.forwarding.enter(version.checked.model, running.pools)
         self.front.current = running
         self._set_listeners(version)
 
--- a/larkweir/sources/discovery.py
+++ b/larkweir/sources/discovery.py
@@ -9,7 +9,7 @@
 from random import Random
 from typing import Any, NamedTuple, cast
 
-from larkweir.core.address import Address, ConfigError, parse_address
+from larkweir.core.address import Address, ConfigError, label_of, parse_address, spell
 from larkweir.core.message import Message
 from larkweir.http1 import ResponseReader, encode_request
 from mulleinhitch.interface import ListKind, ServerEntry, ServerState
@@ -115,13 +115,14 @@
         ServerEntry(
             server=names.server(instance_id),
             state=state,
+            label=label_of(spell(address)),
             started_ms=float(row.get("startedAtMs", 0)),
             weight=float(row.get("weight", 1.0)),
             zone=names.zone(row.get("zone", "")),
             cell=int(row.get("cell", 0)),
             kind=names.kind(row.get("machineType", "")),
         )
-        for instance_id, row, _, state in checked
+        for instance_id, row, address, state in checked
     )
     kind = ListKind.FULL if whole else ListKind.DELTA
     return Listing(kind, version, entries, tuple(address for _, _, address, _ in checked))
--- a/larkweir/sources/static.py
+++ b/larkweir/sources/static.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-from larkweir.core.address import Address
+from larkweir.core.address import Address, label_of, spell
 from larkweir.sources.discovery import Listing
 from mulleinhitch.interface import ListKind, ServerEntry, ServerState
 
@@ -31,7 +31,10 @@
 
     def retell(self) -> None:
         entries = tuple(
-            ServerEntry(item.number, item.state, item.started_ms, item.weight) for item in self.servers
+            ServerEntry(
+                item.number, item.state, item.started_ms, item.weight, label=label_of(spell(item.address))
+            )
+            for item in self.servers
         )
         addresses = tuple(item.address for item in self.servers)
         self._tell(Listing(ListKind.FULL, 1, entries, addresses))
--- a/mulleinhitch/advice.py
+++ b/mulleinhitch/advice.py
@@ -217,10 +217,10 @@
         return bucket
 
     def inherit(self, past: SharedRamp) -> None:
-        """Both go on with the same buckets: what one sends is not there for the other."""
+        """Go on where another ramp of these servers ends, which from now on has nothing but its grants."""
         self._buckets, self._slides, self._granted = past._buckets, past._slides, past._granted
         self._granted_until_ms, self._fade_ms = past._granted_until_ms, past._fade_ms
-        self._lent_until_ms = past._lent_until_ms
+        self._lent_until_ms, past._lent_until_ms = past._lent_until_ms, math.inf
 
     def admits(self, server: Listed, now_ms: float) -> bool:
         return not self.is_cold(server, now_ms) or self._credit(server, now_ms).credit >= 1.0
@@ -328,12 +328,19 @@
         if self.ramp is not None:
             self.ramp.lend(until_ms, now_ms)
 
+    def fits(self, other: Guide) -> bool:
+        """Whether the settings that advice looks at are the same."""
+
+        def terms(settings: Settings) -> tuple[float, ...]:
+            ramp = settings.cold_share, settings.cold_ms, settings.ramp_per_s, settings.ramp_burst
+            return settings.copies, settings.me, *ramp
+
+        return terms(self._settings) == terms(other._settings)
+
     def inherit(self, past: Guide) -> None:
-        """Go on with the advice that counts for the balancer before."""
+        """Go on with the advice that counts for the balancer before, under other settings."""
         self._voices, self._next_ms = dict(past._voices), past._next_ms
         self._slides = past._slides
-        if self._even == past._even:
-            self._own, self._own_until_ms = past._own, past._own_until_ms
         if self.ramp is not None and past.ramp is not None:
             self.ramp.inherit(past.ramp)
 
