Planners as processes: command line, status and explain; scripted bad planners on the link

larkweir planner run, check, status, key; larkweir status shows the link. On loopback, planners that send garbage, 100 MB, old epochs, old advice, late advice, lies and floods: each ends in a shunned planner or in no change, and none in a request held up.

--- a/larkweir/cli.py
+++ b/larkweir/cli.py
@@ -20,6 +20,8 @@
 from larkweir.config.check import Checked, check_file, check_text
 from larkweir.config.document import CheckError, Problem, read_bytes
 from larkweir.control.client import Client, UnreachableError
+from larkweir.planner_cli import add_planner_verbs, run_planner_verb
+from larkweir.tables import table
 
 OK, FAILED, USAGE, UNREACHABLE, CONFLICT, BUSY = range(6)
 CODES = {"conflict": CONFLICT, "busy": BUSY, "too many proposals": BUSY}
@@ -73,6 +75,7 @@
     verb("status", "what is in force and on its way")
     verb("history", "versions and what became of them")
     verb("show", "a version's configuration").add_argument("version", type=int, nargs="?")
+    add_planner_verbs(verb)
     verb("demo", "stand-ins, traffic and a change under it, on loopback", control=False)
     return parser
 
@@ -90,6 +93,8 @@
             return serve(args, err)
         if args.verb == "check":
             return _check(args, out, err)
+        if args.verb == "planner":
+            return run_planner_verb(args, out, err)
         return _remote(args, out, err)
     except UnreachableError as problem:
         print(f"larkweir: {problem}", file=err)
@@ -187,16 +192,6 @@
     return FAILED if ended in ("failed", "taken back", "lost") else OK
 
 
-def table(rows: list[dict[str, Any]], columns: Sequence[str]) -> str:
-    """Plain columns, as wide as what stands in them."""
-    cells = [list(columns), *([str(row.get(column, "")) for column in columns] for row in rows)]
-    widths = [max(len(line[n]) for line in cells) for n in range(len(columns))]
-    return "\n".join(
-        "  ".join(text.ljust(width) for text, width in zip(line, widths, strict=True)).rstrip()
-        for line in cells
-    )
-
-
 def _print_version(answer: dict[str, Any], out: TextIO, err: TextIO) -> None:
     print(f"version {answer['version']}: {answer['state']}", file=out)
     if answer.get("why"):
@@ -235,10 +230,23 @@
         f" {memory['most_bytes']} bytes of memory in use",
         file=out,
     )
+    if answer["planning"]:
+        _print_planning(answer["planning"], out)
     if answer["proposals"]:
         print(table(answer["proposals"], ("proposal", "base", "author", "comment")), file=out)
 
 
+def _print_planning(planning: dict[str, Any], out: TextIO) -> None:
+    lent = planning["lends_to"]
+    if lent is None:
+        ends = planning["own_parts_in_ms"]
+        print(f"{planning['forwarder']}: uses its own parts" + (f" in {ends} ms" if ends else ""), file=out)
+    else:
+        print(f"{planning['forwarder']}: its parts are lent to planner {lent}", file=out)
+    columns = ("planner", "state", "advice_counts", "learning", "advices", "late", "refused", "last")
+    print(table(planning["planners"], columns), file=out)
+
+
 def _print_history(answer: dict[str, Any], out: TextIO, err: TextIO) -> None:
     print(
         table(answer["versions"], ("version", "base", "state", "changes", "author", "comment", "why")),
@@ -280,6 +288,7 @@
 
 async def _serve(args: argparse.Namespace, checked: Checked, err: TextIO) -> int:
     from larkweir.config.history import History, HistoryError
+    from larkweir.control.calls import Calls
     from larkweir.control.server import ControlError, ControlServer
     from larkweir.core.log import report_loop_errors
     from larkweir.core.process import settle_collector, stop_event
@@ -306,7 +315,7 @@
         report_loop_errors(loop, service.journal)
         log = AccessLog(args.access_log, service) if args.access_log else None
         await service.start()
-        control = ControlServer(service, args.control)
+        control = ControlServer(Calls(service), service.journal, args.control)
         await control.start()
     except (HistoryError, ControlError, StageError, CheckError, OSError) as problem:
         print(f"larkweir: {problem}", file=err)
--- a/larkweir/config/check.py
+++ b/larkweir/config/check.py
@@ -81,7 +81,7 @@
     return error["msg"].replace("Input should be", "it should be").replace("Dictionary", "the mapping")
 
 
-def _model_problems(document: Document, failure: ValidationError) -> Iterator[Problem]:
+def model_problems(document: Document, failure: ValidationError) -> Iterator[Problem]:
     for error in failure.errors(include_url=False, include_input=False):
         path = tuple(part for part in error["loc"] if part != "[key]")
         value = _value_at(document.data, path)
@@ -285,16 +285,16 @@
     try:
         model = Configuration.model_validate(document.data)
     except ValidationError as failure:
-        raise CheckError(_in_order(list(_model_problems(document, failure)), document)) from None
+        raise CheckError(in_order(list(model_problems(document, failure)), document)) from None
     problems = _References(document, model).run()
     if any(not problem.warning for problem in problems):
-        raise CheckError(_in_order(problems, document))
+        raise CheckError(in_order(problems, document))
     routes = [compile_route(route) for route in model.routes]
     for at, cover in unreachable(routes):
         text = f"it can never match: {routes[cover].name!r} before it takes all that it would"
         problems.append(document.problem(("routes", at), text, warning=True))
     table = RouteTable(routes, compile_target(model.default, b"default"))
-    return Checked(document.data, model, table, tuple(_in_order(problems, document)))
+    return Checked(document.data, model, table, tuple(in_order(problems, document)))
 
 
 def check_text(text: str | bytes, file: str = "configuration") -> Checked:
@@ -307,7 +307,7 @@
     return check(read(path))
 
 
-def _in_order(problems: list[Problem], document: Document) -> list[Problem]:
+def in_order(problems: list[Problem], document: Document) -> list[Problem]:
     problems.sort(key=lambda problem: problem.line)
     if len(problems) > MOST_PROBLEMS:
         more = document.problem((), f"{len(problems) - MOST_PROBLEMS} more problems are not shown")
--- a/larkweir/control/calls.py
+++ b/larkweir/control/calls.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
 import yaml
@@ -49,6 +49,10 @@
     return await asyncio.to_thread(checked_text, _argument(call, "text", str).encode())
 
 
+def no_such_call(name: Any, known: Iterable[str]) -> RefusedError:
+    return RefusedError(Refusal.INVALID, f"op: {name!r:.60} is none; there are: {', '.join(known)}")
+
+
 def version_row(version: Version, now_ms: float) -> dict[str, Any]:
     """A version for people and scripts. Times left in milliseconds."""
     row: dict[str, Any] = {
@@ -97,8 +101,7 @@
             name = call.get("op")
             found = self._operations.get(name) if isinstance(name, str) else None
             if found is None:
-                there = ", ".join(self._operations)
-                raise RefusedError(Refusal.INVALID, f"op: {name!r:.60} is none; there are: {there}")
+                raise no_such_call(name, self._operations)
             operation, known = found
             _unknown_keys(call, known)
             return {"ok": True} | await operation(call, author)
@@ -201,6 +204,7 @@
                 {"proposal": item.number, "base": item.base, "author": item.author, "comment": item.comment}
                 for item in transactions.proposals.values()
             ],
+            "planning": service.forwarding.status(),
             "memory": {"held_bytes": service.shared.room.used, "most_bytes": service.shared.room.most},
         }
 
--- a/larkweir/control/server.py
+++ b/larkweir/control/server.py
@@ -1,4 +1,4 @@
-"""The control socket of a service: a Unix-domain socket that only its owner (and root) may use.
+"""The control socket of a service or a planner: a Unix-domain socket that only its owner (and root) may use.
 
 It is bounded as the callers' side is: in connections, in bytes held by all peers together, and in the time
 that a call may take to come whole. It never decides what a call may do; `calls` and the transactions do.
@@ -12,11 +12,10 @@
 import socket
 import stat
 import struct
-from typing import Any
+from typing import Any, Protocol
 
-from larkweir.control.calls import Calls
 from larkweir.control.framing import CallError, LineReader, encode
-from larkweir.service.service import Service
+from larkweir.core.log import Journal
 
 MOST_PEERS = 512
 MOST_HELD = 96 * 1024 * 1024  # bytes of calls that have not come whole, over all peers
@@ -62,10 +61,15 @@
         return str(uid)
 
 
+class Runner(Protocol):
+    async def run(self, call: dict[str, Any], author: str) -> dict[str, Any]:
+        """The answer to a call, whatever it is."""
+
+
 class ControlServer:
-    def __init__(self, service: Service, path: str, call_s: float = CALL_S) -> None:
-        self._calls = Calls(service)
-        self._journal = service.journal
+    def __init__(self, calls: Runner, journal: Journal, path: str, call_s: float = CALL_S) -> None:
+        self._calls = calls
+        self._journal = journal
         self._path = path
         self._call_s = call_s
         self._held = 0
--- a/tests/control/test_control.py
+++ b/tests/control/test_control.py
@@ -19,6 +19,7 @@
 
 from larkweir import cli
 from larkweir.config.transactions import State
+from larkweir.control.calls import Calls
 from larkweir.control.framing import CallError, LineReader, encode
 from larkweir.control.server import ControlError, ControlServer
 from standins.callers import Caller
@@ -55,7 +56,7 @@
     farm = await Farm().start("a1", "b1", "o1")
     async with serving(farm.config(farm.pool("a1"), farm.pool("o1"))) as kept:
         path = str(tmp / "c.sock")
-        server = ControlServer(kept.service, path, call_s)
+        server = ControlServer(Calls(kept.service), kept.service.journal, path, call_s)
         await server.start()
         try:
             yield kept, farm, path
@@ -243,10 +244,10 @@
     async def work() -> None:
         async with controlled(tmp_path) as (kept, _, path):
             with pytest.raises(ControlError, match="another process listens"):
-                await ControlServer(kept.service, path).start()
+                await ControlServer(Calls(kept.service), kept.service.journal, path).start()
             (tmp_path / "file").write_text("mine")
             with pytest.raises(ControlError, match="another file"):
-                await ControlServer(kept.service, str(tmp_path / "file")).start()
+                await ControlServer(Calls(kept.service), kept.service.journal, str(tmp_path / "file")).start()
             assert (tmp_path / "file").read_text() == "mine"
         assert not os.path.exists(path)
 
--- /dev/null
+++ b/tests/planning/harness.py
@@ -0,0 +1,127 @@
+"""A forwarder's link on loopback: engines that note what reaches them, planners that are scripted or real."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Callable, Sequence
+from contextlib import asynccontextmanager
+from typing import Any
+
+from larkweir.core.clock import Clock
+from larkweir.planning.forwarder import ForwarderTerms
+from larkweir.planning.keys import SharedKey
+from larkweir.planning.link import ForwarderLink, Watcher
+from larkweir.planning.planner import PlannerTerms
+from larkweir.planning.server import PlannerServer
+from mulleinhitch import Balancer
+from mulleinhitch.interface import (
+    Effect,
+    Guidance,
+    GuidanceRefused,
+    Lent,
+    ListKind,
+    ListUpdate,
+    RequestClass,
+    ServerEntry,
+    Settings,
+)
+from standins.planners import Script, ScriptedPlanner
+from standins.wire import PATIENCE_S
+
+KEY = SharedKey(b"k" * 32)
+ADDRESSES = [f"10.0.0.{n}:80" for n in range(1, 5)]
+CLASS = RequestClass(aim_ms=100.0, deadline_ms=1000.0, effect=Effect.SAFE, name="view")
+SETTINGS = Settings(classes=[CLASS], copies=4, ramp_per_s=100.0, tier=1, max_attempts=2)
+TERMS = ForwarderTerms(report_ms=50.0, most_lease_ms=10_000.0, hold_ms=100.0)
+
+
+class FakeEngine:
+    """A real balancer with four servers; no calls go anywhere."""
+
+    def __init__(self, clock: Clock, settings: Settings = SETTINGS) -> None:
+        self.clock = clock
+        self.settings = settings
+        self.balancer = Balancer(settings, 1)
+        self.events: list[Guidance | Lent] = []
+        self.refused: list[GuidanceRefused] = []
+        self.observer: Watcher | None = None
+        self._told: Callable[[GuidanceRefused], None] = self.refused.append
+        self.update = ListUpdate(ListKind.FULL, 1, [ServerEntry(n) for n in range(4)])
+        self.balancer.handle(clock.now_ms(), self.update)
+
+    def refusals_to(self, told: Callable[[GuidanceRefused], None]) -> None:
+        self._told = told
+
+    def advise(self, event: Guidance | Lent) -> None:
+        self.events.append(event)
+        for action in self.balancer.handle(self.clock.now_ms(), event):
+            assert isinstance(action, GuidanceRefused)
+            self.refused.append(action)
+            self._told(action)
+
+    def observe(self, observer: Watcher) -> None:
+        self.observer = observer
+        observer.hear_list(self.update, ADDRESSES)
+
+    @property
+    def guidances(self) -> list[Guidance]:
+        return [event for event in self.events if isinstance(event, Guidance)]
+
+
+class Post:
+    """One forwarder."""
+
+    def __init__(self, link: ForwarderLink, engine: FakeEngine, lines: list[str]) -> None:
+        self.link, self.engine, self.lines = link, engine, lines
+
+    def side(self, planner: str) -> dict[str, Any]:
+        rows: Sequence[dict[str, Any]] = self.link.status()["planners"]
+        return next(row for row in rows if row["planner"] == planner)
+
+
+async def until(holds: Callable[[], object]) -> None:
+    async with asyncio.timeout(PATIENCE_S):
+        while not holds():
+            await asyncio.sleep(0.005)
+
+
+@asynccontextmanager
+async def forwarder(
+    ports: dict[str, int], terms: ForwarderTerms = TERMS, quiet_ms: float = 0.0
+) -> AsyncIterator[Post]:
+    """A forwarder of these planners, by their names and ports."""
+    clock = Clock(asyncio.get_running_loop())
+    lines: list[str] = []
+    addresses = {name: ("127.0.0.1", port) for name, port in ports.items()}
+    link = ForwarderLink("f0", addresses, KEY, clock, lines.append, terms, 1, quiet_ms)
+    engine = FakeEngine(clock)
+    link.attach("core", engine, SETTINGS)
+    link.start()
+    try:
+        yield Post(link, engine, lines)
+    finally:
+        link.stop()
+
+
+@asynccontextmanager
+async def scripted(script: Script, name: str = "p0", epoch: int = 1) -> AsyncIterator[ScriptedPlanner]:
+    planner = await ScriptedPlanner(name, KEY, script, epoch).start()
+    try:
+        yield planner
+    finally:
+        planner.close()
+
+
+@asynccontextmanager
+async def planning(
+    name: str = "p0", terms: PlannerTerms | None = None, **more: Any
+) -> AsyncIterator[PlannerServer]:
+    """A real planner; one that has been there for long: it has nothing to learn of an earlier life."""
+    clock = Clock(asyncio.get_running_loop())
+    server = PlannerServer(name, ("127.0.0.1", 0), KEY, clock, lambda line: None, terms, **more)
+    server.planner.begun_ms -= 60_000.0
+    await server.start()
+    try:
+        yield server
+    finally:
+        server.stop()
