--- a/larkweir/config/planner.py
+++ b/larkweir/config/planner.py
@@ -24,7 +24,7 @@
     forwarders: Annotated[dict[Name, KeyText], Field(default_factory=dict, max_length=100_000)]  # public keys
     lease_ms: Annotated[float, Field(ge=100, le=60_000)] = 2_000.0
     lend_ms: Annotated[float, Field(ge=150, le=600_000)] = 3_000.0
-    look_ms: Annotated[float, Field(ge=50, le=60_000)] = 500.0
+    look_ms: Annotated[float, Field(ge=50, le=60_000)] = 250.0
     enough: Annotated[float, Field(ge=0, le=1)] = 0.5
     most_holders: Annotated[int, Field(ge=1, le=10_000)] = 64
     most_forwarders: Annotated[int, Field(ge=1, le=100_000)] = 10_000
--- a/larkweir/planning/load.py
+++ b/larkweir/planning/load.py
@@ -38,11 +38,11 @@
         "_failed",
         "_ratio",
         "_smooth",
-        "_weight",
         "address",
         "cold_in",
         "judgement",
         "listed_in",
+        "merit",
         "outstanding",
         "reports",
     )
@@ -58,7 +58,7 @@
         self._ratio = 0.0  # sum over them of the answer's time by what is usual at that forwarder
         self._failed = 0.0
         self._smooth = 0.0  # outstanding, averaged
-        self._weight = 1.0
+        self.merit = 1.0  # the weight that what it is speaks for
 
     @property
     def cold(self) -> bool:
@@ -98,12 +98,11 @@
     def load(self) -> float:
         return self._smooth
 
-    def judge(self, goal: float, why: str, ratio: float, most_step: float) -> bool:
-        """Move the weight towards a goal; whether what is said of it has changed."""
-        self._weight += max(-most_step, min(most_step, goal - self._weight))
-        weight = min(1.0, max(0.0, round(self._weight / STEP) * STEP))
+    def judge(self, weight: float, why: str, ratio: float) -> bool:
+        """Give it a weight; whether what is said of it has changed."""
+        weight = min(1.0, max(0.0, round(weight / STEP) * STEP))
         changed = weight != self.judgement.weight
-        if changed or why != self.judgement.why:
+        if changed or (weight < 1.0 and why != self.judgement.why):
             self.judgement = Judgement(weight, why if weight < 1.0 else "", ratio, self.reports)
         return changed
 
@@ -172,13 +171,13 @@
     """A pool, as all its forwarders' reports together tell it."""
 
     MEMORY_MS = 10_000.0  # over which evidence fades
-    SMOOTH_MS = 1_500.0
+    SMOOTH_MS = 400.0
     LEAST_CALLS = 8.0  # before an opinion of a server
     TOLERATED = 1.5  # times the usual, up to which a server is not slow
-    CROWDED = 2.0  # times the tier's mean, up to which it is not crowded
     LEAST_WEIGHT = 0.1
-    KEPT = 0.5  # of the servers, at least, that keep a weight of KEEPS or more
-    KEEPS = 0.6
+    LEAST_CROWD = 0.3
+    DRAIN_MS = 1_000.0  # within which what a server has outstanding beyond the mean should be gone
+    LAG_MS = 500.0  # from a call to the draws that know of it
     STEP_PER_S = 0.3
     DEMAND_MS = 5_000.0
     MOST_DEMAND = 4.0  # times the median, as far as any forwarder's demand counts
@@ -310,36 +309,49 @@
             self.servers = {a: view for a, view in self.servers.items() if id(view) in numbered}
 
     def _judge(self, warm: list[ServerView], span_ms: float) -> None:
+        """Two things make a weight. What a server is, slow or failing, moves it slowly, on evidence. What it
+        has outstanding moves it at once: by so much that what is beyond the mean is gone after DRAIN_MS.
+
+        (With calls of 20 ms and a third of the servers slow, following at once lost 0.02 of the worth.)
+        """
         usual = _middle(view.slowness for view in warm if view.calls >= self.LEAST_CALLS) or 1.0
         mean = sum(view.load for view in warm) / len(warm)
-        failing = sum(view.failing * view.calls for view in warm) / (sum(view.calls for view in warm) or 1.0)
-        goals = [(view, *self._goal(view, usual, mean, failing)) for view in warm]
-        # The worst half may be weighed down, no more: guards a tier that is bad as a whole.
-        goals.sort(key=lambda item: item[1])
-        spared = len(goals) - int(len(goals) * (1.0 - self.KEPT))
+        calls = sum(view.calls for view in warm)
+        failing = sum(view.failing * view.calls for view in warm) / (calls or 1.0)
+        # What is out is old news by the time that it is heard, the more so the shorter the calls are: then
+        # it is followed slowly. Guards against steering by noise.
+        usual_ms = _middle(member.usual_ms for member in self.members.values() if member.usual_ms) or 1.0
+        drain_ms = self.DRAIN_MS * max(1.0, self.LAG_MS / usual_ms)
+        drained = max(1.0, calls / len(warm) / self.MEMORY_MS * drain_ms)
         most = self.STEP_PER_S * span_ms / 1000.0
+        found = []
+        for view in warm:
+            goal, why, ratio = self._goal(view, usual, failing)
+            view.merit += max(-most, min(most, goal - view.merit))
+            beyond = (view.load - mean) / drained
+            crowd = max(self.LEAST_CROWD, min(2.0 - self.LEAST_CROWD, 1.0 - beyond))
+            if crowd < view.merit:
+                why, ratio = "crowded", (view.load + 1.0) / (mean + 1.0)
+            found.append((view, view.merit * crowd, why, ratio))
+        found.sort(key=lambda item: item[1])
+        # Half of the servers keep a weight near the most: guards a tier that is bad as a whole, and servers
+        # on which all would pile that are weighed down less.
+        middle = found[len(found) // 2][1]
         changed = False
-        for at, (view, goal, why, ratio) in enumerate(goals):
-            least = self.KEEPS if at >= len(goals) - spared else 0.0
-            changed |= view.judge(max(goal, least), why, ratio, most)
+        for view, weight, why, ratio in found:
+            changed |= view.judge(max(self.LEAST_WEIGHT, min(1.0, weight / middle)), why, ratio)
         if changed:
             self.weights_version += 1
 
-    def _goal(
-        self, view: ServerView, usual: float, mean_load: float, failing: float
-    ) -> tuple[float, str, float]:
-        """The weight that the evidence speaks for, what it is, and by how many times it is beyond the tier's.
-
-        The measures don't multiply: a slow server is a crowded one too.
+    def _goal(self, view: ServerView, usual: float, failing: float) -> tuple[float, str, float]:
+        """The weight that the evidence speaks for, what it is, and by how many times it is beyond the
+        tier's.
         """
         goal, why, ratio = 1.0, "", 1.0
-        crowded = (view.load + 1.0) / (mean_load + 1.0)
-        if crowded > self.CROWDED:
-            goal, why, ratio = self.CROWDED / crowded, "crowded", crowded
         if view.calls >= self.LEAST_CALLS:
             slow = view.slowness / usual
-            if slow > self.TOLERATED and 1.0 / slow < goal:
-                goal, why, ratio = 1.0 / slow, "slow", slow
+            if slow > self.TOLERATED:
+                goal, why, ratio = self.TOLERATED / slow, "slow", slow
             beyond = view.failing - 2.0 * failing - 1.0 / view.calls
             if beyond > 0.05 and 1.0 - beyond < goal:
                 goal, why, ratio = 1.0 - beyond, "failing", view.failing / max(failing, 0.01)
--- a/larkweir/planning/planner.py
+++ b/larkweir/planning/planner.py
@@ -32,7 +32,7 @@
 
     lease_ms: float = 2_000.0
     lend_ms: float = 3_000.0
-    look_ms: float = 500.0
+    look_ms: float = 250.0
     lost_ms: float = 3_000.0
     enough: float = 0.5
     plan_ms: float = 1_000.0
@@ -210,6 +210,8 @@
     # ------------------------------------------------ advice
 
     def _advise(self, member: Member, report: Report, lending: bool, now_ms: float) -> Advice:
+        if lending and self.learning(now_ms) and not self._covered(member, now_ms):
+            lending = False  # what it holds goes on; nothing is said of it until the others are back too
         self._version += 1
         member.version = self._version
         member.sent.append((member.version, now_ms, lending))
@@ -231,6 +233,23 @@
             pools,
         )
 
+    def _covered(self, member: Member, now_ms: float) -> bool:
+        """Whether all that a forwarder holds from an earlier life may go on, on what is lent to this one."""
+        until_ms = self._until(now_ms)
+        for plan in self.pools.values():
+            load = plan.load.members.get(member.name)
+            if load is None or plan.lenders is None:
+                continue
+            for number in load.cold:
+                ledger = plan.ledgers.get(load.numbering.views[number].address)
+                if ledger is None:
+                    continue
+                held, others = ledger.held(member.name, now_ms), ledger.others(member.name, now_ms)
+                lent = plan.lenders.parts(ledger.label, until_ms)
+                if held[0] + others[0] > lent[0] + 1e-9 or held[1] + others[1] > lent[1] + 1e-9:
+                    return False
+        return True
+
     def _pool_advice(self, plan: PoolPlan, member: Member, lending: bool, now_ms: float) -> PoolAdvice:
         load = plan.load.members[member.name]
         advice = PoolAdvice(plan.load.name)
--- a/mulleinhitch/advice.py
+++ b/mulleinhitch/advice.py
@@ -254,7 +254,8 @@
     FLOOR = 0.5  # of the servers that are ready and warm, that keep at least this much of the most weight
     LEAST_PART = 0.5  # of an even part of what the tier bears, that a copy keeps whatever is advised
     MOST_PART = 8.0
-    SETTLE_MS = 3_000.0
+    FOLLOW_MS = 400.0  # over which a weight goes to what is newly advised
+    SETTLE_MS = 3_000.0  # over which it goes back when advice has lapsed
 
     def __init__(self, settings: Settings, rng: Random) -> None:
         self._settings = settings
@@ -285,7 +286,7 @@
             self._voices[event.planner] = _Voice(weights, event.until_ms)
         elif event.planner in self._voices:
             self._voices[event.planner].until_ms = event.until_ms
-        self._combine(now_ms)
+        self._combine(now_ms, self.FOLLOW_MS)
         if event.lent and self.ramp is not None:
             parts = [part for part in event.parts if part.server in servers]
             self.ramp.grant(parts, event.begun_ms, event.until_ms, event.lent_until_ms, now_ms)
@@ -346,7 +347,7 @@
 
     # ------------------------------------------------ what counts now
 
-    def _combine(self, now_ms: float) -> None:
+    def _combine(self, now_ms: float, over_ms: float) -> None:
         self._voices = {name: voice for name, voice in self._voices.items() if voice.until_ms > now_ms}
         voices = [voice.weights for voice in self._voices.values()]
         self._next_ms = min((voice.until_ms for voice in self._voices.values()), default=math.inf)
@@ -357,13 +358,13 @@
                 if goal == 1.0:
                     continue
                 slide = self._slides[number] = Slide(1.0)
-            slide.move(goal, now_ms, self.SETTLE_MS)
+            slide.move(goal, now_ms, over_ms)
             if goal == 1.0 and slide.at(now_ms) == 1.0:
                 del self._slides[number]
 
     def weight(self, server: int, now_ms: float) -> float:
         while now_ms >= self._next_ms:
-            self._combine(self._next_ms)
+            self._combine(self._next_ms, self.SETTLE_MS)
         slide = self._slides.get(server)
         return 1.0 if slide is None else slide.at(now_ms)
 
