--- /dev/null
+++ b/benchmarks/planning_scale.py
@@ -0,0 +1,317 @@
+"""Planners and forwarders at large size: the pure machines in simulated time, from one seed.
+
+    python -m benchmarks.planning_scale [--forwarders 1000] [--servers 5000] [--planners 5] [--seconds 6]
+    python -m benchmarks.planning_scale --sizes            several sizes, for where a planner's core is full
+    python -m benchmarks.planning_scale --faults 200       random faults on so many seeds, none past its ramp
+
+Forwarders are the real machine and the real ramp; what they see of the servers is modelled, since thousands
+of full balancers would fill the memory of any machine. Servers are started anew one after another. Every
+report and every advice is encoded and decoded as on the wire. Processor time is that of the planner's
+machine alone, measured around its calls: an absolute figure of the machine that it ran on.
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+import time
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from heapq import heappop, heappush
+from multiprocessing import Pool
+from random import Random
+from typing import cast
+
+from larkweir.core.address import label_of
+from larkweir.planning.forwarder import Action, Advise, Drop, Forwarder, ForwarderTerms, SendReport
+from larkweir.planning.messages import Advice, PartRow, PoolReport, Report, Row, decode, encode
+from larkweir.planning.observer import Observer
+from larkweir.planning.planner import Planner
+from mulleinhitch.advice import SharedRamp
+from mulleinhitch.interface import Effect, Guidance, RequestClass, ServerState, Settings
+from standins.tier import POOL, Tier, TierPlan, over_ramp, random_faults
+
+BEGIN_MS = 1_000_000.0
+CLASS = RequestClass(aim_ms=150.0, deadline_ms=1_000.0, effect=Effect.SAFE, name="view")
+
+
+class Node:
+    """A server, the same object for all forwarders."""
+
+    __slots__ = ("address", "id", "label", "sent_ms", "started_ms", "state")
+
+    def __init__(self, number: int) -> None:
+        self.id = number
+        self.address = f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}:8080"
+        self.label = label_of(self.address)
+        self.started_ms = 0.0
+        self.state = ServerState.READY
+        self.sent_ms: list[float] = []
+
+
+class Model:
+    """What all forwarders see. `starts` lists servers in the order of their restarts."""
+
+    def __init__(self, plan: TierPlan, rng: Random) -> None:
+        self.plan = plan
+        self.rng = rng
+        self.nodes = [Node(number) for number in range(plan.servers)]
+        self.names = [node.address for node in self.nodes]
+        self.starts: list[int] = []
+        self.calls = plan.rate_per_s / plan.forwarders * 0.25  # a forwarder's, in a quarter of a second
+
+
+class ModelTold:
+    """Stands for `Told`: names the servers at first, then rows of servers drawn by chance."""
+
+    def __init__(self, model: Model) -> None:
+        self._model = model
+        self._named = False
+        self._started = 0
+
+    def close(self) -> None:
+        """Nobody keeps it."""
+
+    def server_of(self, number: int) -> int | None:
+        return number if number < len(self._model.nodes) else None
+
+    def report(
+        self, pool: str, now_ms: float, budget: int, held: Iterable[PartRow] = ()
+    ) -> tuple[PoolReport, int]:
+        model = self._model
+        report = PoolReport(pool, anew=not self._named, held=list(held))
+        if not self._named:
+            self._named = True
+            report.names = model.names
+            report.warm = list(range(len(model.nodes)))
+        report.cold = model.starts[self._started :]
+        self._started = len(model.starts)
+        calls = int(model.calls)
+        drawn = model.rng.sample(range(len(model.nodes)), min(2 * calls, len(model.nodes)))
+        report.rows = [Row(n, at % 2, 1, 0, 0, 20.0, [20, 1]) for at, n in enumerate(drawn)]
+        report.demand = {"view": calls}
+        return report, budget
+
+
+class ModelObserver:
+    def __init__(self, model: Model) -> None:
+        self._model = model
+
+    def tell(self) -> ModelTold:
+        return ModelTold(self._model)
+
+
+class Seat:
+    """One forwarder: the machine, its ramp, and draws at the cold servers."""
+
+    def __init__(self, number: int, model: Model, names: list[str], terms: ForwarderTerms) -> None:
+        plan = model.plan
+        self.model = model
+        self.settings = Settings(
+            classes=[CLASS],
+            copies=plan.forwarders,
+            me=number,
+            cold_share=plan.cold_share,
+            cold_ms=plan.cold_ms,
+            ramp_per_s=plan.ramp_per_s,
+            ramp_burst=plan.ramp_burst,
+        )
+        self.name = f"f{number}"
+        self.ramp = SharedRamp(self.settings)
+        self.machine = Forwarder(self.name, names, BEGIN_MS, terms, 0.0)
+        observer = cast(Observer, ModelObserver(model))
+        self.machine.add_pool(POOL, self.settings, observer)
+        self.seen = 0
+
+    def draw(self, now_ms: float) -> None:
+        """The calls of a quarter of a second, of which some fall on cold servers."""
+        model = self.model
+        fresh = [model.nodes[n] for n in model.starts[self.seen :]]
+        self.ramp.watch(fresh, now_ms)
+        self.seen = len(model.starts)
+        odds = model.calls / len(model.nodes)
+        for number in self.ramp.cold(now_ms):
+            node = model.nodes[number]
+            # A drawn server without credit is drawn past; several chances, as several calls would have.
+            while model.rng.random() < max(odds, 0.5) and self.ramp.admits(node, now_ms):
+                self.ramp.spend(node, now_ms)
+                node.sent_ms.append(now_ms)
+
+    def hear(self, actions: list[Action], now_ms: float) -> list[SendReport]:
+        reports = []
+        for action in actions:
+            if isinstance(action, SendReport):
+                reports.append(action)
+            elif isinstance(action, Advise):
+                event = action.event
+                if not isinstance(event, Guidance):
+                    self.ramp.lend(event.until_ms, now_ms)
+                elif event.lent:
+                    self.ramp.grant(event.parts, event.begun_ms, event.until_ms, event.lent_until_ms, now_ms)
+            elif isinstance(action, Drop):
+                raise AssertionError(f"{action.planner} was dropped: {action.why}")
+        return reports
+
+
+@dataclass
+class Figures:
+    """Of one run; processor time in seconds of the first planner's machine a simulated second."""
+
+    core: float
+    reports_per_s: float
+    up_bytes_per_s: float
+    down_bytes_per_s: float
+    over: float
+    used: float
+
+
+def run(plan: TierPlan, seconds: float, restarts_per_s: float, seed: int = 1) -> Figures:
+    rng = Random(seed)
+    model = Model(plan, rng)
+    names = [f"p{n}" for n in range(plan.planners)]
+    planners = {name: Planner(name, 1, BEGIN_MS - 60_000.0) for name in names}
+    seats = [Seat(n, model, names, plan.forwarder_terms) for n in range(plan.forwarders)]
+    heap: list[tuple[float, int, Seat]] = []
+    for at, seat in enumerate(seats):
+        for name in names:
+            planners[name].joined(seat.name, BEGIN_MS)
+            seat.machine.connected(name, 1, BEGIN_MS)
+        heappush(heap, (BEGIN_MS + rng.random() * 250.0, at, seat))
+    warm_up = 4_000.0
+    end = BEGIN_MS + warm_up + seconds * 1_000.0
+    cpu = {name: 0.0 for name in names}
+    reports = up = down = 0
+    restart_ms, second = BEGIN_MS + 2_500.0, 0
+    while heap and heap[0][0] < end:
+        now, at, seat = heappop(heap)
+        counted = now >= BEGIN_MS + warm_up
+        while now >= restart_ms and restarts_per_s:
+            node = model.nodes[len(model.starts)]
+            node.started_ms = restart_ms
+            model.starts.append(node.id)
+            restart_ms += 1_000.0 / restarts_per_s
+        if int(now - BEGIN_MS) // 250 != second:
+            second = int(now - BEGIN_MS) // 250
+            for name, planner in planners.items():
+                began = time.process_time()
+                planner.tick(now)
+                cpu[name] += (time.process_time() - began) * counted
+            print(f"{(now - BEGIN_MS) / 1000.0:.1f} s simulated", end="\r", file=sys.stderr, flush=True)
+        seat.draw(now)
+        for action in seat.hear(seat.machine.tick(now), now):
+            payload = encode(action.report)
+            name = action.planner
+            began = time.process_time()
+            message = cast(Report, decode(payload))
+            answer = encode(planners[name].report(seat.name, message, now))
+            cpu[name] += (time.process_time() - began) * counted
+            if counted and name == names[0]:
+                reports, up, down = reports + 1, up + len(payload), down + len(answer)
+            advice = cast(Advice, decode(answer))
+            seat.hear(seat.machine.advice(name, advice, now), now)
+        heappush(heap, (now + 250.0, at, seat))
+    started = [model.nodes[n] for n in model.starts]
+    over = max((over_ramp(plan, node.started_ms, node.sent_ms) for node in started), default=0.0)
+    used = 0.0
+    if started:
+        ages = [(end - node.started_ms) / plan.cold_ms for node in started]
+        allowed = [
+            plan.ramp_per_s
+            * plan.cold_ms
+            / 1000.0
+            * (plan.cold_share * a + (1 - plan.cold_share) * a * a / 2)
+            for a in (min(1.0, age) for age in ages)
+        ]
+        used = sum(len(node.sent_ms) for node in started) / (sum(allowed) or 1.0)
+    return Figures(cpu[names[0]] / seconds, reports / seconds, up / seconds, down / seconds, over, used)
+
+
+def tell(plan: TierPlan, figures: Figures) -> None:
+    burst = plan.ramp_burst or plan.forwarders
+    print(
+        f"{plan.forwarders} forwarders, {plan.servers} servers, {plan.planners} planners:"
+        f" {figures.core:.3f} of a core, {figures.reports_per_s:.0f} reports a second;"
+        f" a forwarder's link {figures.up_bytes_per_s / plan.forwarders:.0f} bytes a second up and"
+        f" {figures.down_bytes_per_s / plan.forwarders:.0f} down;"
+        f" at most {figures.over:.1f} calls of a burst of {burst:g} beyond a ramp, {figures.used:.2f} of the"
+        " ramps used"
+    )
+
+
+def fault_run(seed: int) -> tuple[int, float, int]:
+    """One run with faults by chance: how much of the ramp's burst was used, and advice refused."""
+    rng = Random(seed)
+    number = rng.choice([3, 8, 20])
+    plan = TierPlan(
+        forwarders=number,
+        places=number + rng.choice([0, 3]),
+        servers=rng.choice([2, 6]),
+        planners=rng.choice([1, 2, 3]),
+        rate_per_s=400.0,
+        work_ms=10.0,
+        cores=8,
+        ramp_per_s=rng.choice([60.0, 120.0]),
+        ramp_burst=rng.choice([0.0, 2.5, 4.0, 30.0]),
+        cold_ms=10_000.0,
+        link_loss=rng.choice([0.0, 0.0, 0.02, 0.2]),
+        link_ms=rng.choice([1.0, 50.0, 300.0]),
+        demand={n: rng.choice([1.0, 5.0]) for n in range(number)},
+    )
+    tier = Tier(plan, seed)
+    tier.at(6_000.0, lambda: tier.restart(0))
+    random_faults(tier, rng, rng.randrange(1, 7), 5_000.0, 14_000.0)
+    tier.run(16_500.0)
+    node = tier.servers[0]
+    over = over_ramp(plan, node.started_ms, node.sent_ms) / (plan.ramp_burst or tier.settings.copies)
+    return seed, over, sum(len(forwarder.refusals) for forwarder in tier.forwarders)
+
+
+def faults(count: int, jobs: int) -> None:
+    most, bad = 0.0, []
+    with Pool(jobs) as pool:
+        for done, (seed, over, refused) in enumerate(pool.imap_unordered(fault_run, range(count)), 1):
+            most = max(most, over)
+            if over > 1.0 + 1e-9 or refused:
+                bad.append(seed)
+            print(f"{done}/{count}", end="\r", file=sys.stderr, flush=True)
+    print(
+        f"{count} seeds: at most {most:.3f} of a ramp's burst; past it or with refused advice:"
+        f" {bad or 'none'}"
+    )
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    parser.add_argument("--forwarders", type=int, default=1_000)
+    parser.add_argument("--servers", type=int, default=5_000)
+    parser.add_argument("--planners", type=int, default=5)
+    parser.add_argument("--seconds", type=float, default=6.0)
+    parser.add_argument("--restarts", type=float, default=5.0, help="servers a second")
+    parser.add_argument("--burst", type=float, default=0.0)
+    parser.add_argument("--sizes", action="store_true")
+    parser.add_argument("--faults", type=int, metavar="SEEDS")
+    parser.add_argument("--jobs", type=int, default=4)
+    args = parser.parse_args()
+    if args.faults:
+        faults(args.faults, args.jobs)
+        return
+    plan = TierPlan(
+        forwarders=args.forwarders,
+        servers=args.servers,
+        planners=args.planners,
+        rate_per_s=100.0 * args.forwarders,
+        ramp_per_s=100.0,
+        ramp_burst=args.burst,
+    )
+    plans = [plan]
+    if args.sizes:
+        sizes = ((50, 250), (100, 500), (200, 1_000), (400, 2_000), (1_000, 5_000))
+        plans = [replace(plan, forwarders=f, servers=s, planners=1, rate_per_s=100.0 * f) for f, s in sizes]
+    for each in plans:
+        tell(each, run(each, args.seconds, args.restarts))
+
+
+if __name__ == "__main__":
+    main()
--- a/larkweir/planning/ledger.py
+++ b/larkweir/planning/ledger.py
@@ -14,6 +14,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -92,9 +93,17 @@
         self.label = label
         self._taken = taken
         self._grants: dict[str, list[Grant]] = {}
-
-    def held(self, name: str, now_ms: float) -> tuple[float, float]:
-        """The most that a forwarder may hold: of all that is not known to be superseded, and lives."""
+        # The sums are kept, not formed anew: with hundreds of forwarders and of cold servers each advice
+        # would look at all of them. What has ended since is still in them, until the next look: on the safe
+        # side.
+        self._most: dict[str, tuple[float, float]] = {}
+        self._rate = self._burst = 0.0
+        self._look_ms = math.inf  # when the first of the grants ends
+
+    def _refresh(self, name: str, now_ms: float) -> tuple[float, float]:
+        """Forget what of a forwarder's has been superseded or has ended."""
+        rate, burst = self._most.pop(name, (0.0, 0.0))
+        self._rate, self._burst = self._rate - rate, self._burst - burst
         grants = self._grants.get(name)
         if not grants:
             return 0.0, 0.0
@@ -103,21 +112,38 @@
         if not grants:
             del self._grants[name]
             return 0.0, 0.0
-        return max(g.rate for g in grants), max(g.burst for g in grants)
+        most = max(g.rate for g in grants), max(g.burst for g in grants)
+        self._most[name] = most
+        self._rate, self._burst = self._rate + most[0], self._burst + most[1]
+        return most
+
+    def _look(self, now_ms: float) -> None:
+        """Form the sums anew, once the first of the grants has ended."""
+        if now_ms < self._look_ms:
+            return
+        self._most, self._rate, self._burst = {}, 0.0, 0.0
+        for name in list(self._grants):
+            self._refresh(name, now_ms)
+        self._look_ms = min((g.until_ms for rows in self._grants.values() for g in rows), default=math.inf)
+
+    def held(self, name: str, now_ms: float) -> tuple[float, float]:
+        """The most that a forwarder may hold: of all that is not known to be superseded, and lives."""
+        self._look(now_ms)
+        return self._refresh(name, now_ms)
 
     def others(self, name: str, now_ms: float) -> tuple[float, float]:
         """What others than `name` may hold, at most."""
-        rate = burst = 0.0
-        for other in list(self._grants):
-            if other != name:
-                one, calls = self.held(other, now_ms)
-                rate, burst = rate + one, burst + calls
-        return rate, burst
+        rate, burst = self.held(name, now_ms)
+        return max(0.0, self._rate - rate), max(0.0, self._burst - burst)
 
     @property
     def holders(self) -> list[str]:
         return list(self._grants)
 
+    def _add(self, name: str, grant: Grant) -> None:
+        self._grants.setdefault(name, []).append(grant)
+        self._look_ms = min(self._look_ms, grant.until_ms)
+
     def grant(
         self,
         name: str,
@@ -135,9 +161,11 @@
         given = min(wanted[0], lent[0] - rate), min(wanted[1], lent[1] - burst)
         if given[0] <= 0.0 or given[1] < 1.0:
             return 0.0, 0.0
-        self._grants.setdefault(name, []).append(Grant(version, *given, until_ms))
+        self._add(name, Grant(version, *given, until_ms))
+        self._refresh(name, now_ms)
         return given
 
-    def claim(self, name: str, rate: float, burst: float, until_ms: float) -> None:
+    def claim(self, name: str, rate: float, burst: float, now_ms: float, until_ms: float) -> None:
         """What a forwarder says that it holds from this planner's earlier life."""
-        self._grants.setdefault(name, []).append(Grant(0, rate, burst, until_ms))
+        self._add(name, Grant(0, rate, burst, until_ms))
+        self._refresh(name, now_ms)
--- a/larkweir/planning/load.py
+++ b/larkweir/planning/load.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from hashlib import blake2b
+from heapq import nsmallest
 from itertools import chain
 from weakref import WeakValueDictionary
 
@@ -17,6 +18,7 @@
 from larkweir.planning.messages import PoolReport, Row, WeightRow
 
 MOST_SERVERS = 20_000  # that a session may name in a pool
+MOST_WEIGHTS = 256  # told of a pool at once: an advice is bounded, however large the tier
 STEP = 0.05  # weights are given in steps of it, so that they are not sent anew for nothing
 
 
@@ -125,10 +127,12 @@
         if version != self._rows_version:
             self._rows_version = version
             judged = ((number, view.judgement) for number, view in enumerate(self.views) if view.listed_in)
+            low = [(found.weight, number, found) for number, found in judged if found.weight < 1.0]
+            if len(low) > MOST_WEIGHTS:  # those that matter most
+                low = nsmallest(MOST_WEIGHTS, low, key=lambda item: item[:2])
             self._rows = [
                 WeightRow(number, found.weight, found.why, round(found.ratio, 3), found.reports)
-                for number, found in judged
-                if found.weight < 1.0
+                for _, number, found in low
             ]
         return self._rows
 
@@ -287,8 +291,10 @@
 
     # ------------------------------------------------ what follows
 
-    def look(self, span_ms: float) -> None:
-        """Judge the servers, after each `span_ms` or so."""
+    def look(self, span_ms: float, first: bool = False) -> None:
+        """Judge the servers, after each `span_ms` or so. At `first` they are what they show themselves to
+        be; later they become so by small steps.
+        """
         keep, smooth = math.exp(-span_ms / self.MEMORY_MS), 1.0 - math.exp(-span_ms / self.SMOOTH_MS)
         self._tidy()
         listed = [view for view in self.servers.values() if view.listed_in]
@@ -296,7 +302,7 @@
             view.fade(keep, smooth)
         warm = [view for view in listed if not view.cold]
         if warm:
-            self._judge(warm, span_ms)
+            self._judge(warm, math.inf if first else span_ms)
         for view in listed:
             view.reports = 0
 
--- a/larkweir/planning/planner.py
+++ b/larkweir/planning/planner.py
@@ -70,6 +70,8 @@
 class Planner:
     """`epoch` is this life's: above that of any earlier life."""
 
+    PATIENCE = 4.0  # times the learning, for forwarders that are configured and do not come
+
     def __init__(self, name: str, epoch: int, now_ms: float, terms: PlannerTerms | None = None) -> None:
         self.name = name
         self.epoch = epoch
@@ -153,7 +155,9 @@
             views = plan.load.members[member.name].numbering.views
             if row.server < len(views):
                 view, burst = views[row.server], min(row.burst, item.burst)
-                self._ledger(plan, view).claim(member.name, row.rate, burst, now_ms + self.terms.lend_ms)
+                self._ledger(plan, view).claim(
+                    member.name, row.rate, burst, now_ms, now_ms + self.terms.lend_ms
+                )
 
     def _placed(self, plan: PoolPlan, member: Member, item: PoolReport) -> str:
         """Give a forwarder its place, one at a time; why it can't have it."""
@@ -187,7 +191,7 @@
         if span >= self.terms.look_ms:
             self._looked_ms = now_ms
             for plan in self.pools.values():
-                plan.load.look(span)
+                plan.load.look(span, self.learning(now_ms))
         for name, member in list(self.members.items()):
             if now_ms - member.heard_ms >= self.terms.lost_ms:
                 self._lose(name)
@@ -264,14 +268,13 @@
         return advice
 
     def _heard_enough(self, plan: PoolPlan, now_ms: float) -> bool:
-        """Whether this life has heard enough for an opinion: most forwarders, for long enough to have been
-        heard by each of them more than once.
+        """Whether this life has heard enough for an opinion: for as long as it learns, its forwarders keep
+        the one that its earlier life gave them; then most of them must speak, or have been waited for.
         """
-        if plan.lenders is None or now_ms < self.begun_ms + 2.0 * self.terms.look_ms:
+        if plan.lenders is None or self.learning(now_ms):
             return False
-        if not self.learning(now_ms):
-            return True
-        return len(plan.load.members) >= self.terms.enough * plan.lenders.copies
+        waited = now_ms >= self.begun_ms + self.PATIENCE * self.terms.lend_ms
+        return waited or len(plan.load.members) >= self.terms.enough * plan.lenders.copies
 
     # ------------------------------------------------ parts in ramps
 
--- a/larkweir/planning/server.py
+++ b/larkweir/planning/server.py
@@ -50,6 +50,7 @@
 
     def data_received(self, data: bytes) -> None:
         now = self._server.clock.now_ms()
+        self._server.bytes_in += len(data)
         try:
             for event, size in self.session.feed(data):
                 if not self._budget.take(size, now):
@@ -139,7 +140,7 @@
         self._server: asyncio.Server | None = None
         self._stopped = False
         self.turned_away = 0
-        self.bytes_out = 0
+        self.bytes_in = self.bytes_out = 0
 
     async def start(self) -> None:
         """OSError if the address can't be had."""
@@ -206,4 +207,5 @@
         found = self.planner.status(self.clock.now_ms())
         found["connections"] = len(self._peers)
         found["turned_away"] = self.turned_away
+        found["bytes_in"], found["bytes_out"] = self.bytes_in, self.bytes_out
         return found
--- a/standins/tier.py
+++ b/standins/tier.py
@@ -191,7 +191,7 @@
         self.arrivals = Random(seed + 1)  # of their own, so that all variants have the same
         self.quiet_ms = quiet_ms
         self.now = 1_000_000.0
-        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self._heap: list[tuple[float, int, Callable[[], object]]] = []
         self._serial = 0
         cls = RequestClass(aim_ms=plan.aim_ms, deadline_ms=plan.deadline_ms, effect=Effect.SAFE, name="view")
         self.settings = Settings(
@@ -227,11 +227,11 @@
 
     # ------------------------------------------------ time
 
-    def after(self, delay_ms: float, call: Callable[[], None]) -> None:
+    def after(self, delay_ms: float, call: Callable[[], object]) -> None:
         self._serial += 1
         heappush(self._heap, (self.now + max(0.0, delay_ms), self._serial, call))
 
-    def at(self, ms: float, call: Callable[[], None]) -> None:
+    def at(self, ms: float, call: Callable[[], object]) -> None:
         """At so many milliseconds from the run's begin."""
         self._serial += 1
         heappush(self._heap, (1_000_000.0 + ms, self._serial, call))
@@ -458,6 +458,10 @@
         planner.script = past.script
         self.planners[name] = planner
 
+    def follow(self, name: str, script: Script) -> None:
+        """From here on what a planner says goes through this script."""
+        self.planners[name].script = script
+
     def partition(self, pairs: Iterable[tuple[int, str]]) -> None:
         self.cut = set(pairs)
         for number, name in self.cut:
@@ -480,3 +484,32 @@
         least = min(least, count - integral(at))
         most = max(most, count + 1 - integral(at) - least)
     return most
+
+
+def random_faults(tier: Tier, rng: Random, count: int, begin_ms: float, end_ms: float) -> None:
+    """So many faults by chance in a span of the run: planners killed, started anew and slow, partitions,
+    forwarders that die and join.
+    """
+    number, places = tier.plan.forwarders, tier.settings.copies
+    for _ in range(count):
+        at, name = rng.uniform(begin_ms, end_ms), f"p{rng.randrange(tier.plan.planners)}"
+        cut = [(f, p) for f in range(number) for p in tier.planners if rng.random() < 0.5]
+        victim, delay = rng.randrange(number), rng.choice([300.0, 1_500.0, 5_000.0])
+        script: Script = partial(_late, delay)
+        faults: list[list[tuple[float, Callable[[], object]]]] = [
+            [(0.0, partial(tier.kill_planner, name)), (900.0, partial(tier.start_planner, name))],
+            [(0.0, partial(tier.kill_planner, name)), (1.0, partial(tier.start_planner, name))],
+            [(0.0, partial(tier.partition, cut)), (2_500.0, partial(tier.partition, []))],
+            [(0.0, partial(tier.leave, victim))],
+            [(0.0, lambda: tier.join() if len(tier.forwarders) < places else None)],
+            [
+                (0.0, partial(tier.follow, name, script)),
+                (2_000.0, partial(tier.follow, name, honest)),
+            ],
+        ]
+        for after, call in rng.choice(faults):
+            tier.at(at + after, call)
+
+
+def _late(delay_ms: float, advice: Advice, now_ms: float) -> Iterable[tuple[float, Advice | None]]:
+    return [(delay_ms, advice)]
