--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -1269,7 +1269,8 @@
         pass
 
     def _on_guidance(self, event: Guidance) -> None:
-        warm = [s.id for s in self.fleet.all_ready(None) if not self.slow_start.is_cold(s, self.now)]
+        ready = self.fleet.all_ready(None) if event.weights else ()
+        warm = [server.id for server in ready if not self.slow_start.is_cold(server, self.now)]
         refused = self.guide.take(event, self.fleet.servers, warm, self.now)
         if refused is not None:
             self.out.append(refused)
--- a/tests/planning/test_advice.py
+++ b/tests/planning/test_advice.py
@@ -13,6 +13,7 @@
 from mulleinhitch.interface import (
     AttemptEnded,
     Effect,
+    Fail,
     Guidance,
     GuidanceRefused,
     Lent,
@@ -329,6 +330,20 @@
     assert sorted(both, key=str) == [0, None]
 
 
+def test_advice_never_changes_what_may_be_repeated() -> None:
+    """An unsafe call that may have run is failed, whatever is advised meanwhile; a safe one goes on."""
+    for effect, answer in ((Effect.UNSAFE, Fail), (Effect.SAFE, Send)):
+        cls = replace(CLASS, effect=effect)
+        balancer = Balancer(replace(SETTINGS, classes=[cls]), 3)
+        balancer.handle(1_000.0, ListUpdate(ListKind.FULL, 1, entries(3)))
+        (sent,) = balancer.handle(9_000.0, RequestArrived(1, 0, 1_000.0))
+        assert isinstance(sent, Send)
+        event = guidance({sent.server: 0.0}, until_ms=60_000.0, lent=True, own_part=0.5)
+        assert balancer.handle(9_001.0, event) == []
+        ended = AttemptEnded(1, 0, sent.server, Outcome.RESET, False, 5.0)
+        assert [type(action) for action in balancer.handle(9_005.0, ended)] == [answer]
+
+
 def test_advice_that_has_lapsed_leaves_every_draw_as_it_was() -> None:
     plain, told = Balancer(SETTINGS, 5), Balancer(SETTINGS, 5)
     for balancer in (plain, told):
