--- a/larkweir/planning/load.py
+++ b/larkweir/planning/load.py
@@ -15,7 +15,7 @@
 from weakref import WeakValueDictionary
 
 from larkweir.core.address import label_of as label_of
-from larkweir.planning.messages import PoolReport, Row, WeightRow
+from larkweir.planning.messages import PoolReport, WeightRow
 
 MOST_SERVERS = 20_000  # that a session may name in a pool
 MOST_WEIGHTS = 256  # told of a pool at once: an advice is bounded, however large the tier
@@ -67,15 +67,18 @@
         """By the word of more than one forwarder where there are more, so that no one alone makes it so."""
         return 0 < self.cold_in >= min(2, self.listed_in)
 
-    def count(self, row: Row, weight: float, usual_ms: float) -> None:
-        """A report's row, of which each call counts as `weight` calls."""
-        calls = (row.ok + row.failed) * weight
+    def count(self, ok: int, failed: int, spent_ms: float, weight: float, usual_ms: float) -> None:
+        """Calls that ended here as one forwarder saw it, each counted as `weight` calls."""
         self.reports += 1
-        self._calls += calls
-        self._failed += row.failed * weight
-        if row.ok:
-            ratio = min(8.0, max(0.125, row.spent_ms / row.ok / usual_ms)) if usual_ms else 1.0
-            self._ratio += ratio * row.ok * weight
+        self._calls += (ok + failed) * weight
+        self._failed += failed * weight
+        if ok:
+            ratio = spent_ms / ok / usual_ms if usual_ms else 1.0
+            if ratio > 8.0:
+                ratio = 8.0
+            elif ratio < 0.125:
+                ratio = 0.125
+            self._ratio += ratio * ok * weight
 
     def fade(self, keep: float, smooth: float) -> None:
         self._calls, self._failed, self._ratio = self._calls * keep, self._failed * keep, self._ratio * keep
@@ -226,9 +229,10 @@
                 return f"pool {self.name}: more than {MOST_SERVERS} servers named in one session"
             self._name(member, report.names)
         known = len(member.state)
-        for number in chain(report.cold, report.warm, report.left, (row.server for row in report.rows)):
-            if number >= known:
-                return f"pool {self.name}: server {number} has no name in this session"
+        rows = (row.server for row in report.rows)
+        highest = max(chain(report.cold, report.warm, report.left, rows), default=-1)
+        if highest >= known:
+            return f"pool {self.name}: server {highest} has no name in this session"
         for state, numbers in ((COLD, report.cold), (WARM, report.warm), (GONE, report.left)):
             for number in numbers:
                 self._set(member, number, state)
@@ -271,23 +275,34 @@
             member.cold.discard(number)
 
     def _count(self, member: MemberLoad, report: PoolReport) -> None:
-        ok = sum(row.ok for row in report.rows)
-        spent = sum(row.spent_ms for row in report.rows if row.ok)
-        if ok:
-            weight = min(1.0, ok / (ok + 50.0)) if member.usual_ms else 1.0
-            member.usual_ms += weight * (spent / ok - member.usual_ms)
-        views = member.numbering.views
+        views, outstanding, usual_ms = member.numbering.views, member.outstanding, member.usual_ms
+        # Guards against a forwarder that reports many times its calls: it speaks for three at most.
+        most = 3.0 * max(1.0, self._row_mean)
+        ended = told = well = 0
+        spent_ms = 0.0
         for row in report.rows:
             view = views[row.server]
             calls = row.ok + row.failed
             if calls:
-                self._row_mean += 0.01 * (min(calls, 10.0 * self._row_mean) - self._row_mean)
-                # Guards against a forwarder that reports many times its calls: it speaks for three at most.
-                view.count(row, min(1.0, 3.0 * max(1.0, self._row_mean) / calls), member.usual_ms)
-            before = member.outstanding.pop(row.server, 0)
-            if row.outstanding:
-                member.outstanding[row.server] = row.outstanding
-            view.outstanding += row.outstanding - before
+                told += 1
+                ended += calls
+                well += row.ok
+                spent_ms += row.spent_ms
+                weight = 1.0 if calls <= most else most / calls
+                view.count(row.ok, row.failed, row.spent_ms, weight, usual_ms)
+            before = outstanding.get(row.server, 0)
+            if row.outstanding != before:
+                view.outstanding += row.outstanding - before
+                if row.outstanding:
+                    outstanding[row.server] = row.outstanding
+                else:
+                    del outstanding[row.server]
+        if told:
+            weight = 1.0 - 0.99**told
+            self._row_mean += weight * (min(ended / told, 10.0 * self._row_mean) - self._row_mean)
+        if well:
+            weight = well / (well + 50.0) if usual_ms else 1.0
+            member.usual_ms += weight * (spent_ms / well - usual_ms)
 
     # ------------------------------------------------ what follows
 
--- a/tests/planning/test_advice.py
+++ b/tests/planning/test_advice.py
@@ -163,6 +163,26 @@
     assert not ramp.admits(node, 9_001.0)
 
 
+def test_credit_of_a_grant_is_gone_at_the_very_moment_of_its_end() -> None:
+    ramp, node = SharedRamp(replace(SETTINGS, ramp_per_s=10_000.0)), Node(7)
+    ramp.watch([node], 1_000.0)
+    ramp.grant([Part(7, 1.0, 4.0)], 2_000.0, 4_000.0, 5_000.0, 2_000.0)
+    assert ramp.admits(node, 3_999.0)
+    assert not ramp.admits(node, 4_000.0)
+
+
+def test_advice_that_comes_late_leaves_what_is_granted() -> None:
+    guide, nodes, warm = guide_of(4)
+    nodes[2].started_ms = 900.0
+    part = Part(2, 0.9, 3.0)
+    guide.take(
+        guidance(lent=True, parts=[part], lent_until_ms=9_000.0, until_ms=5_000.0), nodes, warm, 1_000.0
+    )
+    guide.take(guidance(lent=True, lent_until_ms=9_000.0), nodes, warm, 3_500.0)
+    assert guide.ramp is not None
+    assert guide.ramp.part(nodes[2], 2_000.0) == (0.9, 3.0)
+
+
 def test_a_new_process_of_a_server_begins_its_ramp_anew() -> None:
     ramp, node = SharedRamp(SETTINGS), Node(7)
     ramp.watch([node], 1_000.0)
--- a/tests/planning/test_planner.py
+++ b/tests/planning/test_planner.py
@@ -92,6 +92,21 @@
     assert advice.lending and [(p.server, p.rate) for p in advice.pools[0].parts] == [(3, 0.25)]
 
 
+def test_a_part_is_lent_from_when_the_advice_was_sent_that_the_lender_names() -> None:
+    """A report that comes late, or names old advice, lends for no longer."""
+    planner = Planner("p0", 1, -10_000.0)
+    one = Member(planner, 0)
+    one.report(0.0)
+    one.report(100.0, cold=[3])
+    named = one.version
+    assert planner.pools["core"].lenders is not None
+    for now, number in ((900.0, 1), (1_150.0, 0)):
+        one.version = named  # it has taken nothing since what was sent at 100
+        one.report(now)
+        lenders = planner.pools["core"].lenders
+        assert lenders.number(now + planner.terms.lease_ms) == number
+
+
 def test_parts_go_by_demand_and_sum_to_what_is_lent() -> None:
     planner = Planner("p0", 1, -10_000.0)
     busy, idle = members(planner, 2)
