What is out at servers that have gone is forgotten; the scale run has delays, losses, partitions

A connection over before its wait was taken for one that is there, and its planner never tried again. A part of what the tier bears goes on while a new life of its planner learns.

--- a/benchmarks/planning_scale.py
+++ b/benchmarks/planning_scale.py
@@ -1,6 +1,7 @@
 """Planners and forwarders at large size: the pure machines in simulated time, from one seed.
 
     python -m benchmarks.planning_scale [--forwarders 1000] [--servers 5000] [--planners 5] [--seconds 6]
+    python -m benchmarks.planning_scale --trouble --loss 0.01 --link-ms 20
     python -m benchmarks.planning_scale --sizes            several sizes, for where a planner's core is full
     python -m benchmarks.planning_scale --faults 200       random faults on so many seeds, none past its ramp
 
@@ -15,8 +16,9 @@
 import argparse
 import sys
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
+from functools import partial
 from heapq import heappop, heappush
 from multiprocessing import Pool
 from random import Random
@@ -157,73 +159,158 @@
 class Figures:
     """Of one run; processor time in seconds of the first planner's machine a simulated second."""
 
-    core: float
-    reports_per_s: float
-    up_bytes_per_s: float
-    down_bytes_per_s: float
-    over: float
-    used: float
+    core: float = 0.0
+    reports_per_s: float = 0.0
+    up_bytes_per_s: float = 0.0
+    down_bytes_per_s: float = 0.0
+    over: float = 0.0
+    used: float = 0.0
+    broken: int = 0  # sessions
+    lending: int = 0  # forwarders that lend at the end
 
 
-def run(plan: TierPlan, seconds: float, restarts_per_s: float, seed: int = 1) -> Figures:
-    rng = Random(seed)
-    model = Model(plan, rng)
-    names = [f"p{n}" for n in range(plan.planners)]
-    planners = {name: Planner(name, 1, BEGIN_MS - 60_000.0) for name in names}
-    seats = [Seat(n, model, names, plan.forwarder_terms) for n in range(plan.forwarders)]
-    heap: list[tuple[float, int, Seat]] = []
-    for at, seat in enumerate(seats):
-        for name in names:
-            planners[name].joined(seat.name, BEGIN_MS)
-            seat.machine.connected(name, 1, BEGIN_MS)
-        heappush(heap, (BEGIN_MS + rng.random() * 250.0, at, seat))
-    warm_up = 4_000.0
-    end = BEGIN_MS + warm_up + seconds * 1_000.0
-    cpu = {name: 0.0 for name in names}
-    reports = up = down = 0
-    restart_ms, second = BEGIN_MS + 2_500.0, 0
-    while heap and heap[0][0] < end:
-        now, at, seat = heappop(heap)
-        counted = now >= BEGIN_MS + warm_up
-        while now >= restart_ms and restarts_per_s:
-            node = model.nodes[len(model.starts)]
-            node.started_ms = restart_ms
-            model.starts.append(node.id)
-            restart_ms += 1_000.0 / restarts_per_s
-        if int(now - BEGIN_MS) // 250 != second:
-            second = int(now - BEGIN_MS) // 250
-            for name, planner in planners.items():
-                began = time.process_time()
-                planner.tick(now)
-                cpu[name] += (time.process_time() - began) * counted
-            print(f"{(now - BEGIN_MS) / 1000.0:.1f} s simulated", end="\r", file=sys.stderr, flush=True)
-        seat.draw(now)
-        for action in seat.hear(seat.machine.tick(now), now):
-            payload = encode(action.report)
-            name = action.planner
+class Scale:
+    """One run: messages arrive after the link's delay, some are lost and break their session; `faults` starts
+    the first planner anew and cuts half of the forwarders off from it, one after the other.
+    """
+
+    WARM_UP_MS = 4_000.0
+
+    def __init__(
+        self, plan: TierPlan, seconds: float, restarts_per_s: float, faults: bool, seed: int
+    ) -> None:
+        self.plan = plan
+        self.rng = Random(seed)
+        self.model = Model(plan, self.rng)
+        names = [f"p{n}" for n in range(plan.planners)]
+        self.planners = {name: Planner(name, 1, BEGIN_MS - 60_000.0) for name in names}
+        self.seats = [Seat(n, self.model, names, plan.forwarder_terms) for n in range(plan.forwarders)]
+        self.now = BEGIN_MS
+        self.begin = BEGIN_MS + self.WARM_UP_MS
+        self.end = self.begin + seconds * 1_000.0
+        self.cut: set[tuple[str, str]] = set()
+        self.sessions: dict[tuple[str, str], int] = {}
+        self.found = Figures()
+        self._cpu = 0.0
+        self._reports = self._up = self._down = 0
+        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self._serial = 0
+        self._session = 0
+        for seat in self.seats:
+            self.after(self.rng.random() * 250.0, partial(self.step, seat))
+        self.after(0.0, self.tick)
+        if restarts_per_s:
+            self.after(2_500.0, partial(self.restart, 1_000.0 / restarts_per_s))
+        if faults:
+            half = self.WARM_UP_MS + 500.0 * seconds
+            self.after(half, self.begin_anew)
+            self.after(half + 1_500.0, self.partition)
+            self.after(half + 4_500.0, self.cut.clear)
+
+    def after(self, delay_ms: float, call: Callable[[], None]) -> None:
+        self._serial += 1
+        heappush(self._heap, (self.now + delay_ms, self._serial, call))
+
+    def run(self) -> Figures:
+        while self._heap and self._heap[0][0] < self.end:
+            self.now, _, call = heappop(self._heap)
+            call()
+        seconds = (self.end - self.begin) / 1_000.0
+        found = self.found
+        found.core, found.reports_per_s = self._cpu / seconds, self._reports / seconds
+        found.up_bytes_per_s, found.down_bytes_per_s = self._up / seconds, self._down / seconds
+        found.lending = sum(seat.machine.lent_to is not None for seat in self.seats)
+        self._ramps()
+        return found
+
+    def _ramps(self) -> None:
+        plan, allowed, sent = self.plan, 0.0, 0
+        for number in self.model.starts:
+            node = self.model.nodes[number]
+            self.found.over = max(self.found.over, over_ramp(plan, node.started_ms, node.sent_ms))
+            age = min(1.0, (self.end - node.started_ms) / plan.cold_ms)
+            share = plan.cold_share * age + (1.0 - plan.cold_share) * age * age / 2.0
+            allowed += plan.ramp_per_s * plan.cold_ms / 1000.0 * share
+            sent += len(node.sent_ms)
+        self.found.used = sent / (allowed or 1.0)
+
+    # ------------------------------------------------ what happens
+
+    def restart(self, pause_ms: float) -> None:
+        node = self.model.nodes[len(self.model.starts)]
+        node.started_ms = self.now
+        self.model.starts.append(node.id)
+        self.after(pause_ms, partial(self.restart, pause_ms))
+
+    def begin_anew(self) -> None:
+        self.planners["p0"] = Planner("p0", 2, self.now)
+        for seat in self.seats:
+            self.lose(seat, "p0")
+
+    def partition(self) -> None:
+        self.cut.update((seat.name, "p0") for seat in self.seats[::2])
+        for seat in self.seats[::2]:
+            self.lose(seat, "p0")
+
+    def tick(self) -> None:
+        for name, planner in self.planners.items():
             began = time.process_time()
-            message = cast(Report, decode(payload))
-            answer = encode(planners[name].report(seat.name, message, now))
-            cpu[name] += (time.process_time() - began) * counted
-            if counted and name == names[0]:
-                reports, up, down = reports + 1, up + len(payload), down + len(answer)
+            planner.tick(self.now)
+            if name == "p0" and self.now >= self.begin:
+                self._cpu += time.process_time() - began
+        print(f"{(self.now - BEGIN_MS) / 1000.0:.1f} s simulated", end="\r", file=sys.stderr, flush=True)
+        self.after(100.0, self.tick)
+
+    def step(self, seat: Seat) -> None:
+        """A forwarder's quarter of a second."""
+        for name in self.planners:
+            key = (seat.name, name)
+            if key not in self.sessions and key not in self.cut:
+                self._session += 1
+                self.sessions[key] = self._session
+                self.planners[name].joined(seat.name, self.now)
+                self.take(seat, seat.machine.connected(name, self.planners[name].epoch, self.now))
+        seat.draw(self.now)
+        self.take(seat, seat.machine.tick(self.now))
+        self.after(250.0, partial(self.step, seat))
+
+    def take(self, seat: Seat, actions: list[Action]) -> None:
+        for action in seat.hear(actions, self.now):
+            key = (seat.name, action.planner)
+            if self._lost():
+                self.lose(seat, action.planner)
+            else:
+                payload, session = encode(action.report), self.sessions.get(key)
+                self.after(self.plan.link_ms, partial(self.reported, seat, action.planner, session, payload))
+
+    def _lost(self) -> bool:
+        return self.plan.link_loss > 0.0 and self.rng.random() < self.plan.link_loss
+
+    def lose(self, seat: Seat, name: str) -> None:
+        if self.sessions.pop((seat.name, name), None) is not None:
+            self.found.broken += 1
+            seat.machine.lost(name)
+
+    def reported(self, seat: Seat, name: str, session: int | None, payload: bytes) -> None:
+        if session is None or self.sessions.get((seat.name, name)) != session:
+            return
+        began = time.process_time()
+        message = cast(Report, decode(payload))
+        answer = encode(self.planners[name].report(seat.name, message, self.now))
+        spent = time.process_time() - began
+        if name == "p0" and self.now >= self.begin:
+            self._cpu += spent
+            self._reports += 1
+            self._up, self._down = self._up + len(payload), self._down + len(answer)
+        if self._lost():
+            self.lose(seat, name)
+        else:
+            self.after(self.plan.link_ms, partial(self.advised, seat, name, session, answer))
+
+    def advised(self, seat: Seat, name: str, session: int, answer: bytes) -> None:
+        if self.sessions.get((seat.name, name)) == session:
             advice = cast(Advice, decode(answer))
-            seat.hear(seat.machine.advice(name, advice, now), now)
-        heappush(heap, (now + 250.0, at, seat))
-    started = [model.nodes[n] for n in model.starts]
-    over = max((over_ramp(plan, node.started_ms, node.sent_ms) for node in started), default=0.0)
-    used = 0.0
-    if started:
-        ages = [(end - node.started_ms) / plan.cold_ms for node in started]
-        allowed = [
-            plan.ramp_per_s
-            * plan.cold_ms
-            / 1000.0
-            * (plan.cold_share * a + (1 - plan.cold_share) * a * a / 2)
-            for a in (min(1.0, age) for age in ages)
-        ]
-        used = sum(len(node.sent_ms) for node in started) / (sum(allowed) or 1.0)
-    return Figures(cpu[names[0]] / seconds, reports / seconds, up / seconds, down / seconds, over, used)
+            self.take(seat, seat.machine.advice(name, advice, self.now))
 
 
 def tell(plan: TierPlan, figures: Figures) -> None:
@@ -234,7 +321,7 @@
         f" a forwarder's link {figures.up_bytes_per_s / plan.forwarders:.0f} bytes a second up and"
         f" {figures.down_bytes_per_s / plan.forwarders:.0f} down;"
         f" at most {figures.over:.1f} calls of a burst of {burst:g} beyond a ramp, {figures.used:.2f} of the"
-        " ramps used"
+        f" ramps used; {figures.broken} sessions broken, {figures.lending} forwarders lend at the end"
     )
 
 
@@ -290,6 +377,9 @@
     parser.add_argument("--seconds", type=float, default=6.0)
     parser.add_argument("--restarts", type=float, default=5.0, help="servers a second")
     parser.add_argument("--burst", type=float, default=0.0)
+    parser.add_argument("--link-ms", type=float, default=5.0)
+    parser.add_argument("--loss", type=float, default=0.0, help="of messages, each of which breaks a session")
+    parser.add_argument("--trouble", action="store_true", help="a planner started anew, and a partition")
     parser.add_argument("--sizes", action="store_true")
     parser.add_argument("--faults", type=int, metavar="SEEDS")
     parser.add_argument("--jobs", type=int, default=4)
@@ -304,13 +394,15 @@
         rate_per_s=100.0 * args.forwarders,
         ramp_per_s=100.0,
         ramp_burst=args.burst,
+        link_ms=args.link_ms,
+        link_loss=args.loss,
     )
     plans = [plan]
     if args.sizes:
         sizes = ((50, 250), (100, 500), (200, 1_000), (400, 2_000), (1_000, 5_000))
         plans = [replace(plan, forwarders=f, servers=s, planners=1, rate_per_s=100.0 * f) for f, s in sizes]
     for each in plans:
-        tell(each, run(each, args.seconds, args.restarts))
+        tell(each, Scale(each, args.seconds, args.restarts, args.trouble, 1).run())
 
 
 if __name__ == "__main__":
--- a/larkweir/planning/link.py
+++ b/larkweir/planning/link.py
@@ -71,6 +71,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
+        self._link.opened(self)
         self.flush()
 
     def _late(self) -> None:
@@ -247,11 +248,9 @@
         try:
             async with asyncio.timeout(HANDSHAKE_MS / 1000.0):
                 host, port = self._addresses[planner]
-                _, connection = await asyncio.get_running_loop().create_connection(make, host, port)
+                await asyncio.get_running_loop().create_connection(make, host, port)
         except OSError as problem:
             self._later(planner, problem.strerror or str(problem) or "no connection in time")
-            return
-        self._connections[planner] = connection
 
     def _later(self, planner: str, why: str) -> None:
         self._again_ms[planner] = self.clock.now_ms() + self._backoff[planner].next_ms()
@@ -259,8 +258,11 @@
             self._told[planner] = why
             self._log(f"planner {planner}: {why}")
 
-    def connected(self, connection: _Connection, event: Established) -> None:
+    def opened(self, connection: _Connection) -> None:
+        """Noted here, not after the wait for it: it may be over by then, and would be kept for ever."""
         self._connections[connection.planner] = connection
+
+    def connected(self, connection: _Connection, event: Established) -> None:
         self._told.pop(connection.planner, None)
         now = self.clock.now_ms()
         self._carry_out(self.machine.connected(connection.planner, event.epoch, now))
--- a/larkweir/planning/load.py
+++ b/larkweir/planning/load.py
@@ -206,12 +206,9 @@
         member = self.members.get(name)
         if member is None:
             return
-        for number, calls in member.outstanding.items():
-            member.numbering.views[number].outstanding -= calls
         for number in range(len(member.state)):
-            self._set(member, number, GONE)
+            self._set(member, number, GONE)  # with what is out there
         member.key, member.numbering, member.state = b"", self._empty, bytearray()
-        member.outstanding = {}
         member.weights_told = -1
 
     def drop(self, name: str) -> None:
@@ -263,6 +260,8 @@
     def _set(self, member: MemberLoad, number: int, state: int) -> None:
         """What a forwarder's list says of a server."""
         before, view = member.state[number], member.numbering.views[number]
+        if state == GONE:  # of what is out at one that drains, the rows go on telling; of one gone, nothing
+            view.outstanding -= member.outstanding.pop(number, 0)
         if before == state:
             return
         member.state[number] = state
--- a/larkweir/planning/observer.py
+++ b/larkweir/planning/observer.py
@@ -107,8 +107,9 @@
 
     def _name(self, report: PoolReport, budget: int) -> int:
         # By address: so that forwarders name them in the same order.
-        new = [(row.address, n) for n, row in self._observer.listed.items() if n not in self._numbers]
-        for address, number in sorted(new):
+        listed = self._observer.listed
+        new = [n for n in self.relisted if n not in self._numbers and n in listed]
+        for address, number in sorted((listed[n].address, n) for n in new):
             cost = len(address) + 4
             if cost > budget:
                 break
@@ -130,14 +131,20 @@
                 break
             self.relisted.discard(server)
             state = self._observer.state(server, now_ms)
-            if state != self._states.get(server, "left"):
+            # One that is gone is told even if it has drained before: nothing more is told of its calls.
+            if state != self._states.get(server, "left") or server not in self._observer.listed:
                 self._states[server] = state
                 getattr(report, state).append(number)
                 budget -= NUMBER_BYTES
         return budget
 
+    def forget(self, server: int) -> None:
+        self.changed.discard(server)
+        self._totals.pop(server, None)
+
     def _rows(self, report: PoolReport, budget: int) -> int:
-        named = [server for server in self.changed if server in self._numbers]
+        listed = self._observer.listed
+        named = [server for server in self.changed if server in self._numbers and server in listed]
         most = max(0, budget // ROW_BYTES)
         if len(named) > most:
             named = nlargest(most, named, key=self._weight)
@@ -238,9 +245,17 @@
             seen.refused += 1
         elif event.outcome not in _UNTELLING:
             seen.failed += 1
+        if not seen.outstanding and event.server not in self.listed:
+            self._forget(event.server)  # the last of what was out at a server that has left
+            return
         for told in self.audience:
             told.changed.add(event.server)
 
+    def _forget(self, server: int) -> None:
+        self.seen.pop(server, None)
+        for told in self.audience:
+            told.forget(server)
+
     def hear_list(self, update: ListUpdate, addresses: Sequence[str]) -> None:
         """A list that the balancer was given, with the addresses of its entries in their order."""
         if update.kind in (ListKind.FULL, ListKind.CACHED):
@@ -259,12 +274,10 @@
         del self.listed[server]
         self._cold.discard(server)
         seen = self.seen.get(server)
-        if seen is not None and not seen.outstanding:
-            del self.seen[server]
+        if seen is None or not seen.outstanding:
+            self._forget(server)
         for told in self.audience:
             told.relisted.add(server)
-            if server not in self.seen:
-                told.changed.discard(server)
 
     def _changed(self, server: int) -> None:
         if self.listed[server].started_ms > 0.0:
--- a/mulleinhitch/advice.py
+++ b/mulleinhitch/advice.py
@@ -290,9 +290,10 @@
         if event.lent and self.ramp is not None:
             parts = [part for part in event.parts if part.server in servers]
             self.ramp.grant(parts, event.begun_ms, event.until_ms, event.lent_until_ms, now_ms)
-        if event.lent and event.own_part is not None:
-            self._own_until_ms = event.until_ms
-            self._own.move(event.own_part, now_ms, self.SETTLE_MS)
+        if event.lent and (event.own_part is not None or self._own_until_ms < math.inf):
+            self._own_until_ms = event.until_ms  # None leaves the part before
+            if event.own_part is not None:
+                self._own.move(event.own_part, now_ms, self.SETTLE_MS)
         return None
 
     def _wrong(self, event: Guidance, warm: Sequence[int]) -> str | None:
--- a/mulleinhitch/interface.py
+++ b/mulleinhitch/interface.py
@@ -306,9 +306,9 @@
 class Guidance:
     """A planner's advice. It counts until `until_ms`, of this copy's own time.
 
-    `weights` of None leave those it gave before. `parts` and `own_part`, of what the tier bears, count where
-    this copy has `lent` its own parts to that planner, which are others' until `lent_until_ms`. `begun_ms` is
-    when the report was sent that it answers.
+    `weights` of None leave those it gave before. `parts` and `own_part`, of what the tier bears (None leaves
+    the one before), count where this copy has `lent` its own parts to that planner, which are others' until
+    `lent_until_ms`. `begun_ms` is when the report was sent that it answers.
     """
 
     planner: str
--- a/tests/planning/test_advice.py
+++ b/tests/planning/test_advice.py
@@ -288,6 +288,14 @@
     assert guide.own_part(12_000.0) == 0.25
 
 
+def test_a_part_of_what_the_tier_bears_goes_on_while_its_planner_says_nothing_new_of_it() -> None:
+    guide, nodes, warm = guide_of(4)
+    guide.take(guidance(lent=True, own_part=0.5, until_ms=3_000.0), nodes, warm, 1_000.0)
+    guide.take(guidance(lent=True, until_ms=9_000.0), nodes, warm, 2_900.0)
+    assert guide.own_part(8_900.0) == 0.5
+    assert guide.own_part(12_000.0) == 0.25
+
+
 # ------------------------------------------------ in the balancer
 
 
--- a/tests/planning/test_link.py
+++ b/tests/planning/test_link.py
@@ -360,6 +360,20 @@
     run(work())
 
 
+def test_a_connection_that_is_over_at_once_is_tried_again() -> None:
+    """It may end before the wait for it does, and must not be taken for one that is there."""
+
+    async def script(seat: Seat) -> None:
+        await seat.raw(b"\0\0\0\5hello")
+
+    async def work() -> None:
+        async with scripted(script) as planner, forwarder({"p0": planner.port}) as post:
+            await until(lambda: planner.connections >= 3)
+            assert post.engine.guidances == []
+
+    run(work())
+
+
 def test_a_planner_full_of_connections_says_so() -> None:
     async def work() -> None:
         async with planning(most_peers=0) as planner, forwarder({"p0": planner.port}) as post:
--- a/tests/planning/test_observer.py
+++ b/tests/planning/test_observer.py
@@ -145,6 +145,22 @@
     assert not told.relisted
 
 
+def test_what_is_out_at_a_server_that_has_gone_is_told_no_more_and_nothing_is_kept_of_it() -> None:
+    found = observer()
+    told = found.tell()
+    told.report("core", 0.0, 10_000)
+    call(found, 1, None)
+    assert [row.outstanding for row in told.report("core", 1.0, 10_000)[0].rows] == [1]
+    found.hear_list(ListUpdate(ListKind.DELTA, 2, [ServerEntry(1, ServerState.DRAINING)]), ["10.0.0.1:80"])
+    assert told.report("core", 2.0, 10_000)[0].left == [1]
+    found.hear_list(ListUpdate(ListKind.DELTA, 3, [ServerEntry(1, ServerState.GONE)]), ["10.0.0.1:80"])
+    report, _ = told.report("core", 3.0, 10_000)
+    assert (report.left, report.rows) == ([1], [])
+    found.saw(AttemptEnded(1, 0, 1, Outcome.RESET, True, 30.0), [])
+    assert told.report("core", 4.0, 10_000)[0].rows == []
+    assert 1 not in found.seen and 1 not in told.changed and 1 not in told._totals
+
+
 def test_a_sketch_tells_quantiles_within_a_tenth_and_sums_are_sketches() -> None:
     rng = Random(2)
     one, other, values = Sketch(), Sketch(), []
--- a/tests/planning/test_planner.py
+++ b/tests/planning/test_planner.py
@@ -175,6 +175,17 @@
     assert (view.outstanding, view.listed_in) == (1, 1)
 
 
+def test_what_was_out_at_a_server_that_is_gone_is_forgotten() -> None:
+    planner = Planner("p0", 1, 0.0)
+    one = Member(planner, 0)
+    one.report(0.0, rows=[Row(0, 5)])
+    view = planner.pools["core"].load.servers[ADDRESSES[0]]
+    one.report(250.0, left=[0], rows=[Row(0, 3)])  # it drains
+    assert view.outstanding == 3
+    one.report(500.0, left=[0])
+    assert (view.outstanding, view.listed_in) == (0, 0)
+
+
 # ------------------------------------------------ weights
 
 
