--- a/benchmarks/planning_link.py
+++ b/benchmarks/planning_link.py
@@ -34,7 +34,7 @@
         "format": 1,
         "listeners": {"front": {"address": f"127.0.0.1:{port}"}},
         "classes": {"look": {"effect": "safe", "aim_ms": 5000, "deadline_ms": 8000}},
-        "pools": {"web": {"servers": listed, "copies": 4, "ramp_per_s": 1000}},
+        "pools": {"web": {"servers": listed, "copies": 4, "tier": 1, "ramp_per_s": 1000}},
         "default": {"pool": "web"},
         "planning": planning or {"place": 0},
     }
--- a/mulleinhitch/advice.py
+++ b/mulleinhitch/advice.py
@@ -37,7 +37,7 @@
         self._begin_ms = self.end_ms = 0.0
 
     def at(self, now_ms: float) -> float:
-        if now_ms >= self.end_ms:
+        if now_ms >= self.end_ms:  # asked for at every draw: nothing is reckoned where nothing moves
             return self.to
         part = max(0.0, now_ms - self._begin_ms) / (self.end_ms - self._begin_ms)
         return self._from + part * (self.to - self._from)
@@ -371,7 +371,7 @@
 
     def declines(self, server: int, now_ms: float) -> bool:
         """Whether a server that was drawn is passed over, as its weight has it."""
-        if not self._slides:
+        if server not in self._slides:
             return False
         weight = self.weight(server, now_ms)
         return weight < 1.0 and self._rng.random() >= weight
