Read once more: one warming curve for both slow starts, and what nobody read is gone

How a starting server grows stood in the policy and again in the shared ramp; the ends that tell nothing of a server in the policy and again in the observer; a refusal on a control socket in the server and again in the planner's command line (whose refusals now carry the empty list of keys that the framing documents). Each is one piece now. A planner's tables by address, members' names, copies and bursts were kept and never read; planners were sorted at every tick into the order that they have.

--- a/larkweir/control/calls.py
+++ b/larkweir/control/calls.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import yaml
@@ -49,10 +49,6 @@
     return await asyncio.to_thread(checked_text, _argument(call, "text", str).encode())
 
 
-def no_such_call(name: Any, known: Iterable[str]) -> RefusedError:
-    return RefusedError(Refusal.INVALID, f"op: {name!r:.60} is none; there are: {', '.join(known)}")
-
-
 def version_row(version: Version, now_ms: float) -> dict[str, Any]:
     """A version for people and scripts. Times left in milliseconds."""
     row: dict[str, Any] = {
@@ -101,7 +97,8 @@
             name = call.get("op")
             found = self._operations.get(name) if isinstance(name, str) else None
             if found is None:
-                raise no_such_call(name, self._operations)
+                there = ", ".join(self._operations)
+                raise RefusedError(Refusal.INVALID, f"op: {name!r:.60} is none; there are: {there}")
             operation, known = found
             _unknown_keys(call, known)
             return {"ok": True} | await operation(call, author)
--- a/larkweir/control/framing.py
+++ b/larkweir/control/framing.py
@@ -56,3 +56,8 @@
 
 def encode(message: dict[str, Any]) -> bytes:
     return json.dumps(message, separators=(",", ":"), default=str).encode() + b"\n"
+
+
+def fault(why: str, text: str) -> dict[str, Any]:
+    """A refusal of which there is no more to say."""
+    return {"ok": False, "why": why, "text": text, "keys": [], "problems": []}
--- a/larkweir/control/server.py
+++ b/larkweir/control/server.py
@@ -14,7 +14,7 @@
 import struct
 from typing import Any, Protocol
 
-from larkweir.control.framing import CallError, LineReader, encode
+from larkweir.control.framing import CallError, LineReader, encode, fault
 from larkweir.core.log import Journal
 
 MOST_PEERS = 512
@@ -106,7 +106,7 @@
             if uid not in (0, os.geteuid()):
                 self._journal.line(f"control: user {uid} was turned away")
             elif len(self._peers) > MOST_PEERS:
-                await self._answer(writer, _fault("busy", f"{MOST_PEERS} peers are connected already"))
+                await self._answer(writer, fault("busy", f"{MOST_PEERS} peers are connected already"))
             else:
                 await self._serve(reader, writer, user_name(uid))
         except (OSError, asyncio.CancelledError):
@@ -125,7 +125,7 @@
                 for call in calls:
                     await self._answer(writer, await self._run(call, author))
         except CallError as problem:
-            await self._answer(writer, _fault("invalid", str(problem)))
+            await self._answer(writer, fault("invalid", str(problem)))
         finally:
             self._held -= lines.held
 
@@ -154,13 +154,9 @@
         except Exception as problem:
             # Guards the service: a call that fails in a way nobody thought of must not end it.
             self._journal.line(f"control: {call.get('op')!r:.40}: {type(problem).__name__}: {problem}")
-            return _fault("internal", f"{type(problem).__name__}: {problem}")
+            return fault("internal", f"{type(problem).__name__}: {problem}")
 
     async def _answer(self, writer: asyncio.StreamWriter, answer: dict[str, Any]) -> None:
         writer.write(encode(answer))
         async with asyncio.timeout(self._call_s):
             await writer.drain()
-
-
-def _fault(why: str, text: str) -> dict[str, Any]:
-    return {"ok": False, "why": why, "text": text, "keys": [], "problems": []}
--- a/larkweir/planner_cli.py
+++ b/larkweir/planner_cli.py
@@ -12,6 +12,7 @@
 
 from larkweir.config.document import CheckError
 from larkweir.control.client import Client
+from larkweir.control.framing import fault
 from larkweir.tables import table
 
 if TYPE_CHECKING:
@@ -107,26 +108,22 @@
             return {"ok": True} | self._server.status()
         if name == "explain":
             return self._explain(call.get("server"), call.get("pool"))
-        return _refusal("invalid", f"op: {name!r:.60} is none; there are: status, explain")
+        return fault("invalid", f"op: {name!r:.60} is none; there are: status, explain")
 
     def _explain(self, address: Any, pool: Any) -> dict[str, Any]:
         planner, now = self._server.planner, self._server.clock.now_ms()
         if not isinstance(address, str) or not isinstance(pool, str | None):
-            return _refusal("invalid", "server: an address as host:port is wanted; pool: a name")
+            return fault("invalid", "server: an address as host:port is wanted; pool: a name")
         found = [
             told
             for name in ([pool] if pool is not None else list(planner.pools))
             if (told := planner.explain(name, address, now)) is not None
         ]
         if not found:
-            return _refusal("unknown", f"no forwarder has named server {address:.80}")
+            return fault("unknown", f"no forwarder has named server {address:.80}")
         return {"ok": True, "servers": found}
 
 
-def _refusal(why: str, text: str) -> dict[str, Any]:
-    return {"ok": False, "why": why, "text": text, "problems": []}
-
-
 async def _run(config: PlannerConfig, control_path: str, err: TextIO) -> int:
     from larkweir.control.server import ControlError, ControlServer
     from larkweir.core.address import parse_address
--- a/larkweir/planning/forwarder.py
+++ b/larkweir/planning/forwarder.py
@@ -130,8 +130,8 @@
         self.sides = {planner: _Side(planner, rank) for rank, planner in enumerate(planners)}
         self.pools: dict[str, _Pool] = {}
         self.lent_to: str | None = None
-        self.quiet_ms = self.terms.most_lease_ms * (1.0 + DRIFT) if quiet_ms is None else quiet_ms
-        self.bound_ms = now_ms + self.quiet_ms  # until then its own parts may be others'
+        quiet_ms = self.terms.most_lease_ms * (1.0 + DRIFT) if quiet_ms is None else quiet_ms
+        self.bound_ms = now_ms + quiet_ms  # until then its own parts may be others'
         self._bound_to: str | None = None  # by whom
         self._parts: dict[str, Sequence[Part]] = {}  # granted last, by pool
         self._parts_until_ms = -math.inf
@@ -335,7 +335,7 @@
                     self.lent_to = None
                     return [Note(f"goes back from planner {current.name} to {side.name}")]
             return []
-        for side in sorted(self.sides.values(), key=lambda side: side.rank):
+        for side in self.sides.values():  # in the order of their ranks
             if not self._well(side, now_ms) or side.taken[0] != side.epoch:
                 continue
             # A new life of the planner that it was lent to goes on where that ended; another one must wait.
--- a/larkweir/planning/load.py
+++ b/larkweir/planning/load.py
@@ -14,7 +14,6 @@
 from itertools import chain
 from weakref import WeakValueDictionary
 
-from larkweir.core.address import label_of as label_of
 from larkweir.planning.messages import PoolReport, WeightRow
 
 MOST_SERVERS = 20_000  # that a session may name in a pool
@@ -36,14 +35,14 @@
     """One server, over all forwarders of the pool."""
 
     __slots__ = (
-        "_calls",
         "_failed",
         "_ratio",
-        "_smooth",
         "address",
+        "calls",
         "cold_in",
         "judgement",
         "listed_in",
+        "load",
         "merit",
         "outstanding",
         "reports",
@@ -56,10 +55,10 @@
         self.cold_in = 0  # those of them that say it is cold
         self.reports = 0  # that told of it since the last look
         self.judgement = Judgement(1.0)
-        self._calls = 0.0  # ended, fading
+        self.calls = 0.0  # ended, fading
         self._ratio = 0.0  # sum over them of the answer's time by what is usual at that forwarder
         self._failed = 0.0
-        self._smooth = 0.0  # outstanding, averaged
+        self.load = 0.0  # outstanding, averaged
         self.merit = 1.0  # the weight that what it is speaks for
 
     @property
@@ -70,7 +69,7 @@
     def count(self, ok: int, failed: int, spent_ms: float, weight: float, usual_ms: float) -> None:
         """Calls that ended here as one forwarder saw it, each counted as `weight` calls."""
         self.reports += 1
-        self._calls += (ok + failed) * weight
+        self.calls += (ok + failed) * weight
         self._failed += failed * weight
         if ok:
             ratio = spent_ms / ok / usual_ms if usual_ms else 1.0
@@ -81,27 +80,19 @@
             self._ratio += ratio * ok * weight
 
     def fade(self, keep: float, smooth: float) -> None:
-        self._calls, self._failed, self._ratio = self._calls * keep, self._failed * keep, self._ratio * keep
-        self._smooth += smooth * (self.outstanding - self._smooth)
-
-    @property
-    def calls(self) -> float:
-        return self._calls
+        self.calls, self._failed, self._ratio = self.calls * keep, self._failed * keep, self._ratio * keep
+        self.load += smooth * (self.outstanding - self.load)
 
     @property
     def slowness(self) -> float:
         """How many times the usual its answers take."""
-        well = self._calls - self._failed
+        well = self.calls - self._failed
         return self._ratio / well if well > 0.5 else 1.0
 
     @property
     def failing(self) -> float:
         """The part of its calls that fail."""
-        return self._failed / self._calls if self._calls else 0.0
-
-    @property
-    def load(self) -> float:
-        return self._smooth
+        return self._failed / self.calls if self.calls else 0.0
 
     def judge(self, weight: float, why: str, ratio: float) -> bool:
         """Give it a weight; whether what is said of it has changed."""
@@ -117,11 +108,10 @@
     thousands of each, a table a forwarder would be most of a planner's memory.
     """
 
-    __slots__ = ("__weakref__", "_rows", "_rows_version", "index", "views")
+    __slots__ = ("__weakref__", "_rows", "_rows_version", "views")
 
     def __init__(self, views: list[ServerView]) -> None:
         self.views = views
-        self.index = {view.address: number for number, view in enumerate(views)}
         self._rows: list[WeightRow] = []
         self._rows_version = -1
 
@@ -147,13 +137,10 @@
     """What one forwarder's reports of a pool say."""
 
     __slots__ = (
-        "burst",
         "cold",
-        "copies",
         "demand_per_s",
         "key",
         "me",
-        "name",
         "numbering",
         "outstanding",
         "state",
@@ -161,9 +148,8 @@
         "weights_told",
     )
 
-    def __init__(self, name: str, empty: Numbering) -> None:
-        self.name = name
-        self.copies, self.me, self.burst = 1, 0, 1.0
+    def __init__(self, empty: Numbering) -> None:
+        self.me = 0
         self.key = b""  # of the names that it has given in this session
         self.numbering = empty
         self.state = bytearray()  # GONE, WARM or COLD, by number
@@ -219,8 +205,8 @@
         """A report of a forwarder; what is wrong with it, if something is."""
         member = self.members.get(name)
         if member is None:
-            member = self.members[name] = MemberLoad(name, self._empty)
-        member.copies, member.me, member.burst = report.copies, report.me, report.burst
+            member = self.members[name] = MemberLoad(self._empty)
+        member.me = report.me
         if report.names:
             if len(member.state) + len(report.names) > MOST_SERVERS:
                 return f"pool {self.name}: more than {MOST_SERVERS} servers named in one session"
--- a/larkweir/planning/observer.py
+++ b/larkweir/planning/observer.py
@@ -12,6 +12,7 @@
 from larkweir.planning.sketch import bucket_of
 from mulleinhitch.interface import (
     NEVER_RAN,
+    UNTELLING,
     Action,
     AttemptEnded,
     Event,
@@ -26,9 +27,6 @@
 # What an item takes on the wire at most, bytes: a report is built within a budget of them.
 ROW_BYTES, PAIR_BYTES, NUMBER_BYTES, PART_BYTES = 32, 4, 4, 24
 
-# Ends that tell nothing of the server.
-_UNTELLING = frozenset((Outcome.CANCELLED, Outcome.MOOT, Outcome.REJECTED))
-
 
 class Seen:
     """Totals of one server, since the process began."""
@@ -243,7 +241,7 @@
             seen.sketch[bucket] = seen.sketch.get(bucket, 0) + 1
         elif event.outcome in NEVER_RAN:
             seen.refused += 1
-        elif event.outcome not in _UNTELLING:
+        elif event.outcome not in UNTELLING:
             seen.failed += 1
         if not seen.outstanding and event.server not in self.listed:
             self._forget(event.server)  # the last of what was out at a server that has left
--- a/larkweir/planning/planner.py
+++ b/larkweir/planning/planner.py
@@ -15,8 +15,9 @@
 from heapq import nsmallest
 from typing import Any
 
+from larkweir.core.address import label_of
 from larkweir.planning.ledger import DRIFT, Ledger, Lenders
-from larkweir.planning.load import MemberLoad, PoolLoad, ServerView, label_of
+from larkweir.planning.load import MemberLoad, PoolLoad, ServerView
 from larkweir.planning.messages import Advice, PartRow, PoolAdvice, PoolReport, Report
 from mulleinhitch.advice import Guide
 
--- a/mulleinhitch/advice.py
+++ b/mulleinhitch/advice.py
@@ -80,6 +80,21 @@
     return settings.ramp_burst or float(settings.copies)
 
 
+class Warming:
+    """How a server that has started grows: from a share of its capacity evenly to all of it."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._share, self._ms = settings.cold_share, settings.cold_ms
+
+    def is_cold(self, server: Listed, now_ms: float) -> bool:
+        return server.started_ms > 0.0 and now_ms - server.started_ms < self._ms
+
+    def share(self, server: Listed, now_ms: float) -> float:
+        """Of the capacity of a warm server."""
+        age = max(0.0, now_ms - server.started_ms)
+        return self._share + (1.0 - self._share) * min(1.0, age / self._ms) if self._ms else 1.0
+
+
 class _Bucket:
     """Credit for one process of a server: calls that this copy may send it now."""
 
@@ -91,7 +106,7 @@
         self.at_ms = now_ms
 
 
-class SharedRamp:
+class SharedRamp(Warming):
     """The slow start of a tier whose cold servers have a stated ramp, kept by all copies together.
 
     The ramp of a server is a rate that grows evenly from `cold_share` of `ramp_per_s` to all of it within
@@ -105,6 +120,7 @@
     SETTLE_MS = 1_000.0  # over which a part grows
 
     def __init__(self, settings: Settings) -> None:
+        super().__init__(settings)
         self._settings = settings
         self._burst = ramp_burst(settings)
         self._cold: dict[int, Listed] = {}
@@ -122,14 +138,6 @@
                 self._buckets[server.id] = _Bucket(server.started_ms, now_ms)
                 self._slides.pop(server.id, None)
 
-    def is_cold(self, server: Listed, now_ms: float) -> bool:
-        return server.started_ms > 0.0 and now_ms - server.started_ms < self._settings.cold_ms
-
-    def share(self, server: Listed, now_ms: float) -> float:
-        """Of the capacity of a warm server."""
-        low, span = self._settings.cold_share, self._settings.cold_ms
-        return low + (1.0 - low) * min(1.0, max(0.0, now_ms - server.started_ms) / span) if span else 1.0
-
     def earn(self, ready: int, now_ms: float) -> None:
         """Credit is of time alone, not of requests."""
 
--- a/mulleinhitch/interface.py
+++ b/mulleinhitch/interface.py
@@ -60,6 +60,7 @@
 
 
 NEVER_RAN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT))
+UNTELLING = frozenset((Outcome.CANCELLED, Outcome.MOOT, Outcome.REJECTED))  # of the server's state
 
 
 class ListKind(Enum):
--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -16,9 +16,10 @@
 from itertools import chain
 from random import Random
 
-from mulleinhitch.advice import Guide, SharedRamp
+from mulleinhitch.advice import Guide, SharedRamp, Warming
 from mulleinhitch.interface import (
     NEVER_RAN,
+    UNTELLING,
     Action,
     AnswerStarted,
     AttemptEnded,
@@ -363,7 +364,7 @@
 # ---------------------------------------------------------------- slow start
 
 
-class SlowStart:
+class SlowStart(Warming):
     """A cold server's budget, kept by one copy alone.
 
     Each placement of this copy earns credit for the cold servers: their present capacity share, from the
@@ -379,7 +380,7 @@
     CREDIT_CAP = 2.0  # no long saving up: a burst right after a start can spend a server's window
 
     def __init__(self, settings: Settings, rng: Random) -> None:
-        self._share, self._ms = settings.cold_share, settings.cold_ms
+        super().__init__(settings)
         self._pace = min(1.0, settings.fall_multiple * self.PACE)
         self._rng = rng
         self._cold: list[Server] = []
@@ -395,13 +396,6 @@
             self._cold.extend(cold)
             self._sum_until = now_ms
 
-    def is_cold(self, server: Server, now_ms: float) -> bool:
-        return server.started_ms > 0.0 and now_ms - server.started_ms < self._ms
-
-    def share(self, server: Server, now_ms: float) -> float:
-        age = max(0.0, now_ms - server.started_ms)
-        return self._share + (1.0 - self._share) * min(1.0, age / self._ms) if self._ms else 1.0
-
     def earn(self, ready: int, now_ms: float) -> None:
         """Called once a request, before its placement."""
         if not self._cold or not ready:
@@ -1276,7 +1270,6 @@
             self.out.append(refused)
 
 
-UNTELLING = frozenset((Outcome.CANCELLED, Outcome.MOOT, Outcome.REJECTED))  # of the server's state
 IDLE_FIELD = (
     "running_and_waiting"  # the one report value that tells an idle server; others say nothing of that
 )
--- a/standins/tier.py
+++ b/standins/tier.py
@@ -15,9 +15,9 @@
 from heapq import heappop, heappush
 from random import Random
 
+from larkweir.core.address import label_of
 from larkweir.planning.forwarder import Action as PlanningAction
 from larkweir.planning.forwarder import Advise, Drop, Forwarder, ForwarderTerms, Note, SendReport
-from larkweir.planning.load import label_of
 from larkweir.planning.messages import Advice, Report, decode, encode
 from larkweir.planning.observer import Observer
 from larkweir.planning.planner import Planner, PlannerTerms
