A watch that broke or fell silent is opened anew at once, not 1 to 3 s later

The watches fell silent in the first two seconds. Their wait is 20 s, the silence shows 1.5 s past it (21.9 s), what they missed counts as told 2 s past it (22.3 s), and with the grace of 2 s nothing may go to a draining server from 24.3 s on. Ruled out: the call itself (the one copy that got a 503 at 1.29 s asked anew and broke nothing) and sends after the word came (none). At fault: Asking.heard, whose first pause after a failure was 2 s times 0.5 to 1.5, so that the new call left at 22.9 to 24.9 s.

Now the first failure in a row is followed by a call within 0.25 s, and the pauses grow from 0.5 s: two calls fit between the detection and the end of the shortest grace. The test on growing pauses asks for two failures more until they pass 3 s, and for the first two to be short.

--- a/mulleinhitch/asking.py
+++ b/mulleinhitch/asking.py
@@ -32,7 +32,9 @@
     """
 
     SPREAD_MS = 250.0  # for each copy: about as long as a call takes discovery
-    BACKOFF_MS = 2_000.0  # after the first failure
+    # After a second failure in a row. What a silent watch misses counts as told 2 s after its wait, and the
+    # silence shows 1.5 s after it: both calls have to fit in what is left, and in the grace.
+    BACKOFF_MS = 500.0
     DOUBT_MS = 2_000.0  # about as long as news of a server take to come by the list
 
     def __init__(self, settings: Settings, rng: Random) -> None:
@@ -52,9 +54,8 @@
             return []
         plan: list[Action] = []
         if kind is ListKind.FAILED:
-            self._backoff_ms = min(self._settings.ask_within_ms, max(self.BACKOFF_MS, 2.0 * self._backoff_ms))
             if self._at == math.inf:
-                plan = self._in(self._backoff_ms * (0.5 + self._rng.random()), now_ms)
+                plan = self._in(self._pause(), now_ms)
         elif not self._booted:
             # The cached list serves at first. Spread by how many copies may start together; a quarter of the
             # duty's interval leaves time for calls that fail.
@@ -66,6 +67,17 @@
         self._booted = True
         return plan
 
+    def _pause(self) -> float:
+        """From a failure to the next call. The first in a row is mostly a watch that broke or fell silent:
+        all that came since is unknown, so it is opened anew at once.
+        """
+        if not self._backoff_ms:
+            self._backoff_ms = self.BACKOFF_MS
+            return self._rng.random() * self.SPREAD_MS
+        pause = self._backoff_ms * (0.5 + self._rng.random())
+        self._backoff_ms = min(self._settings.ask_within_ms, 2.0 * self._backoff_ms)
+        return pause
+
     def doubt(self, server: Doubted, now_ms: float) -> list[Action]:
         """A listed server turned a call away unseen: it may be leaving or gone, and the list old.
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -487,13 +487,16 @@
     bench.advance(2000.0)
     assert [a for a in bench.actions if isinstance(a, WatchList)] == [WatchList(True)]
     gaps = []
-    for _ in range(4):
+    for _ in range(6):
         start = bench.now
         bench.feed(ListUpdate(ListKind.FAILED))
         before = sum(isinstance(a, WatchList) for a in bench.actions)
         while sum(isinstance(a, WatchList) for a in bench.actions) == before:
-            bench.advance(100.0)
+            bench.advance(50.0)
         gaps.append(bench.now - start)
+    # A silent watch shows 1.5 s past its wait, and 2 s past it what it missed counts as told: one call at
+    # once, and one more before the shortest grace in use (0.7 s) is over too.
+    assert gaps[0] <= 300.0 and gaps[0] + gaps[1] <= 500.0 + 700.0
     assert max(gaps) <= 1.5 * 8000.0
     assert gaps[-1] > 3000.0
 
