Shutdown ends only when no byte of a request is left unread, accepted or not

- A request whose bytes reach the system between the loop's last read and the look at idle connections: end_idle passed the connection over (bytes wait), `taking` did not count it (nothing read), drain ended, and the end of the process reset it.
At fault: Listener.taking and CallerConnection.busy, which counted what was read only.
- Callers that the system had accepted while every place was taken: at the end of accepting `_accept` found no room, paused, and the listening socket was closed over them.
- An idle connection was half closed and read on: a request behind the close was read and dropped, though only what was not read may be sent again.
- The process ended while a caller had not read its last answer yet; with bytes unread that is a reset behind the answer.

Now a connection is either let go (closed in one go, nothing unread, nothing undelivered) or counts; the listening socket counts while somebody waits in it.

--- a/larkweir/draining.py
+++ b/larkweir/draining.py
@@ -31,3 +31,4 @@
         if not owed() and not any(listener.taking for listener in listeners):
             break
         await asyncio.sleep(STEP_S)
+            # What it leaves open is owed something: a request that the system holds unread counts as taken.
--- a/larkweir/listener.py
+++ b/larkweir/listener.py
@@ -60,10 +60,10 @@
     """The caller has left before the front has said whom to tell."""
 
 
-def waits(descriptor: int) -> bool:
+def waits(descriptor: int, what: int = select.POLLIN) -> bool:
     """Whether bytes, an end, or a connection to accept, wait in the system."""
     poll = select.poll()
-    poll.register(descriptor, select.POLLIN)
+    poll.register(descriptor, what)
     return bool(poll.poll(0))
 
 
@@ -339,8 +339,20 @@
 
     def quiet(self) -> bool:
         """Whether it holds no whole request, and nothing waits unread in the system."""
-        transport = self._transport
-        return self.idle and transport is not None and not waits(transport.get_extra_info("socket").fileno())
+        return self.idle and self._transport is not None and not waits(self._descriptor)
+
+    def departed(self) -> bool:
+        """Whether its caller is known to have left: the system knows before what lies ahead of it is read,
+        and while reading is paused. A caller that has only sent its end may still wait, where it is let.
+        """
+        if self._transport is None or self._listener.half_close:
+            return False
+        return waits(self._descriptor, select.POLLRDHUP)
+
+    @property
+    def _descriptor(self) -> int:
+        assert self._transport is not None
+        return int(self._transport.get_extra_info("socket").fileno())
 
     @property
     def begun(self) -> bool:
@@ -348,10 +360,21 @@
         return self.idle and self._reader.begun
 
     @property
-    def busy(self) -> bool:
-        """Whether it holds a request, whole or in part, or bytes of an answer not yet sent."""
-        unsent = self._transport is not None and self._transport.get_write_buffer_size() > 0
-        return not self.idle or self.begun or unsent
+    def undelivered(self) -> bool:
+        """Whether the system has not taken all of its answers yet."""
+        return self._transport is not None and self._transport.get_write_buffer_size() > 0
+
+    def let_go(self) -> bool:
+        """Close it if nothing is owed on it: no request, whole or in part, read or unread; whether it was.
+
+        Closed in one go: what comes after that is never read, so that the caller may send it again elsewhere.
+        """
+        if self.ending or self.undelivered or self.begun or not self.quiet():
+            return False
+        self.ending = True
+        assert self._transport is not None
+        self._transport.close()
+        return True
 
     def check(self, now_ms: float) -> None:
         """End what has taken too long: a first request, a part of one, an answer unread, an idle stay."""
@@ -568,13 +591,16 @@
         self._arriving: set[asyncio.Task[None]] = set()
 
     @property
+        self._stopping = False  # the listening socket is closed once nobody waits in it
     def ready(self) -> bool:
         return self._listening and not self.closing and self.front.ready
 
     @property
     def taking(self) -> int:
-        """Connections that hold a request, whole or in part, or an answer not yet read."""
-        return len(self._arriving) + sum(c.busy for c in self._connections)
+        """Connections on which something may still be owed: all but those that were let go. Of one that has
+        had its last answer this is known when its caller has closed it, or has had its time to read.
+        """
+        return (self._socket is not None) + len(self._connections)
 
     def bind(self) -> None:
         """Take the address, without listening on it yet; OSError if it can't be had."""
@@ -699,6 +725,7 @@
             connection.abort()
 
     @property
+        self._let_address_go()
     def connections(self) -> int:
         return len(self._connections)
 
@@ -711,7 +738,10 @@
         self.shared.clock.after(self.SWEEP_MS, self._sweep)
 
     def stop_accepting(self) -> None:
-        """Close the listening socket, and the connections that wait for nothing."""
+        """Close the listening socket once nobody waits in it. While every place is in use by a request, those
+        whom the system has accepted go on waiting for one: their requests count as taken.
+        """
+        self._stopping = True
         if self._socket is None:
             return
         if self._listening:  # one that is only bound has nothing to accept, and says so without end
@@ -721,8 +751,19 @@
             self._listening = False
         self._socket.close()
         self._socket = None
+            if waits(self._socket.fileno()):
+                return
+        self._let_address_go()
+
+    def _let_address_go(self) -> None:
+        if self._socket is None:
+            return
+        if self._listening:
 
     def end_idle(self) -> None:
         for connection in list(self._connections):
-            if connection.quiet() and not connection.begun:
-                connection.end()
+            if connection.let_go():
+                self.left(connection)
+        """Let go what nothing is owed on; to be called again and again once accepting is to stop."""
+        if self._stopping:
+            self.stop_accepting()
--- /dev/null
+++ b/tests/crossings/test_shutdown.py
@@ -0,0 +1,175 @@
+"""The end of a process crosses what callers do: each test puts the two events in the bad order, by a seam at
+the event or by bytes that the system holds and the program has not read.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import pytest
+
+from larkweir import draining
+from larkweir.listener import waits
+from tests.fakes import PATIENCE_S, Caller, FakeUpstream, Incoming, Running, Talk, ok, request_bytes, running
+from tests.test_attempts import run
+
+
+def dial(port: int) -> socket.socket:
+    """A caller whose bytes reach the system at once, while the loop stands still."""
+    caller = socket.create_connection(("127.0.0.1", port), timeout=PATIENCE_S)
+    caller.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return caller
+
+
+def until_unread(descriptor: int) -> None:
+    """Loopback delivers at once, but not in the sender's own call."""
+    while not waits(descriptor):
+        pass
+
+
+async def said(caller: socket.socket) -> bytes:
+    """All that comes until the balancer closes; a reset ends it too."""
+    caller.setblocking(False)
+    loop = asyncio.get_running_loop()
+    came = b""
+    async with asyncio.timeout(PATIENCE_S):
+        try:
+            while part := await loop.sock_recv(caller, 65536):
+                came += part
+        except ConnectionResetError:
+            pass
+    caller.close()
+    return came
+
+
+async def drained(balancer: Running) -> None:
+    """As at SIGTERM, up to the moment at which the process would end."""
+    await draining.drain(
+        balancer.shared.clock, [balancer.listener], lambda: balancer.engine.owed, PATIENCE_S * 1000.0
+    )
+
+
+@pytest.fixture(autouse=True)
+def no_newcomers(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(draining, "ACCEPT_MS", 0.0)
+
+
+def test_a_request_that_comes_as_its_idle_connection_is_looked_at_is_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards the taken request: its bytes were in the system, unread, when nothing else was owed, and the
+    process ended with them.
+    """
+
+    async def work() -> None:
+        upstream = await FakeUpstream().start()
+        async with running(upstream.entry("a")) as balancer:
+            caller = dial(balancer.port)
+            async with asyncio.timeout(PATIENCE_S):
+                while not balancer.listener.connections:
+                    await asyncio.sleep(0.001)
+                while next(iter(balancer.listener._connections))._transport is None:
+                    await asyncio.sleep(0.001)
+            (connection,) = balancer.listener._connections
+            look = balancer.listener.end_idle
+
+            def crossed() -> None:
+                monkeypatch.setattr(balancer.listener, "end_idle", look)
+                caller.sendall(request_bytes("move", b"x"))
+                until_unread(connection._descriptor)
+                look()
+
+            monkeypatch.setattr(balancer.listener, "end_idle", crossed)
+            await drained(balancer)
+            assert len(upstream.seen) == 1  # before the process may end
+            answer = await said(caller)
+            assert answer.startswith(b"HTTP/1.1 200") and b"Connection: close" in answer
+        upstream.close()
+
+    run(work())
+
+
+def test_callers_that_the_system_accepted_while_every_place_was_taken_are_served() -> None:
+    """Guards the taken request: it waited in the system for a place when accepting stopped."""
+
+    async def work() -> None:
+        go = asyncio.Event()
+
+        async def held(request: Incoming, talk: Talk) -> None:
+            await go.wait()
+            await talk.send(ok())
+
+        upstream = await FakeUpstream(held).start()
+        async with running(upstream.entry("a")) as balancer:
+            balancer.shared.caller_budget = 2
+            callers = [dial(balancer.port) for _ in range(6)]
+            for caller in callers:
+                caller.sendall(request_bytes())
+            for _ in range(2):
+                async with asyncio.timeout(PATIENCE_S):
+                    await upstream.arrived.get()
+            ending = asyncio.create_task(drained(balancer))
+            await asyncio.sleep(0)
+            async with asyncio.timeout(PATIENCE_S):
+                while not balancer.listener._stopping:
+                    await asyncio.sleep(0.001)
+            go.set()
+            answers = [await said(caller) for caller in callers]
+            assert all(answer.startswith(b"HTTP/1.1 200") for answer in answers)
+            async with asyncio.timeout(PATIENCE_S):
+                await ending
+            assert balancer.listener._socket is None
+        upstream.close()
+
+    run(work())
+
+
+def test_a_request_behind_the_close_of_its_idle_connection_is_never_read() -> None:
+    """Guards against losing it: what was read is the balancer's to answer, what was not is the caller's to
+    send again.
+    """
+
+    async def work() -> None:
+        upstream = await FakeUpstream().start()
+        async with running(upstream.entry("a")) as balancer:
+            caller = dial(balancer.port)
+            caller.sendall(request_bytes())
+            async with asyncio.timeout(PATIENCE_S):
+                while not balancer.listener._idle:
+                    await asyncio.sleep(0.001)
+            (connection,) = balancer.listener._connections
+            balancer.listener.stop_accepting()
+            balancer.listener.end_idle()
+            caller.sendall(request_bytes("move", b"x"))
+            answer = await said(caller)
+            assert answer.count(b"HTTP/1.1 200") == 1
+            assert connection._dropped == 0 and len(upstream.seen) == 1
+            assert not balancer.listener.taking
+        upstream.close()
+
+    run(work())
+
+
+def test_the_process_ends_no_sooner_than_its_last_answer_was_read() -> None:
+    """Guards the answer on its way: the end of a process with bytes unread resets the connection."""
+
+    async def work() -> None:
+        upstream = await FakeUpstream().start()
+        async with running(upstream.entry("a")) as balancer:
+            caller = dial(balancer.port)
+            caller.sendall(request_bytes(Connection="close"))
+            async with asyncio.timeout(PATIENCE_S):
+                while not balancer.listener._leaving:
+                    await asyncio.sleep(0.001)
+            caller.sendall(b"noise")
+            ending = asyncio.create_task(drained(balancer))
+            for _ in range(5):
+                await asyncio.sleep(draining.STEP_S)
+            assert not ending.done()
+            assert (await said(caller)).startswith(b"HTTP/1.1 200")
+            async with asyncio.timeout(PATIENCE_S):
+                await ending
+        upstream.close()
+
+    run(work())
