Closing a caller's connection looks at what is unread and what is undelivered

Found by reading: room for a newcomer was made by aborting a connection that had been given its last answer, also while the system had not taken all of it, and a connection idle for its time (or never used for 2 s, on a process that was held up) was aborted without a look at what waits in the system. At fault: Listener._make_room and CallerConnection.check.

--- a/larkweir/listener.py
+++ b/larkweir/listener.py
@@ -398,7 +398,7 @@
             if spent > (self.FIRST_MS if self.fresh else self.PART_MS):
                 self._finish_with(Fault(408, "the request did not come whole in time"))
         elif spent > (self.FIRST_MS if self.fresh else self.IDLE_MS):
-            self.abort()
+            self.let_go()  # one with a request unread stays: the loop comes to it
 
     def _gone(self) -> None:
         self._drop_waiting()
@@ -712,7 +712,8 @@
         """
         for table in (self._fresh, self._leaving, self._idle):
             for connection in list(islice(table, self.LOOK)):
-                if connection.ending or connection.quiet():
+                # The last answer of one that is ending may not have left yet: aborting would cut it off.
+                if not connection.undelivered and (connection.ending or connection.quiet()):
                     connection.abort()
                     self.left(connection)  # now, not when the loop tells: the place is taken at once
                     return True
--- a/tests/crossings/test_shutdown.py
+++ b/tests/crossings/test_shutdown.py
@@ -173,3 +173,58 @@
         upstream.close()
 
     run(work())
+
+
+def test_making_room_cuts_off_no_answer_that_has_not_left() -> None:
+    """Guards the last answer of a connection: it is in no table of requests, and not with its caller."""
+
+    async def work() -> None:
+        body = b"x" * 1_000_000
+
+        async def large(request: Incoming, talk: Talk) -> None:
+            await talk.send(ok(body))
+
+        upstream = await FakeUpstream(large).start()
+        async with running(upstream.entry("a")) as balancer:
+            caller = socket.socket()
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            caller.settimeout(PATIENCE_S)
+            caller.connect(("127.0.0.1", balancer.port))
+            async with asyncio.timeout(PATIENCE_S):
+                while not any(item._transport for item in balancer.listener._connections):
+                    await asyncio.sleep(0.001)
+            (accepted,) = balancer.listener._connections
+            assert accepted._transport is not None
+            accepted._transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            caller.sendall(request_bytes(Connection="close"))
+            async with asyncio.timeout(PATIENCE_S):
+                while not balancer.listener._leaving:
+                    await asyncio.sleep(0.001)
+            (connection,) = balancer.listener._leaving
+            assert connection.undelivered
+            assert not balancer.listener._make_room()
+            assert (await said(caller)).endswith(body)
+        upstream.close()
+
+    run(work())
+
+
+def test_an_idle_connection_is_not_closed_for_its_age_with_a_request_unread() -> None:
+    """Guards the request that comes as the time of its connection is over."""
+
+    async def work() -> None:
+        upstream = await FakeUpstream().start()
+        async with running(upstream.entry("a")) as balancer:
+            caller = dial(balancer.port)
+            caller.sendall(request_bytes())
+            async with asyncio.timeout(PATIENCE_S):
+                while not balancer.listener._idle:
+                    await asyncio.sleep(0.001)
+            (connection,) = balancer.listener._connections
+            caller.sendall(request_bytes("move", b"x", Connection="close"))
+            until_unread(connection._descriptor)
+            connection.check(connection.since_ms + 2.0 * connection.IDLE_MS)
+            assert (await said(caller)).count(b"HTTP/1.1 200") == 2
+        upstream.close()
+
+    run(work())
