A request that comes late in a shutdown is answered before SIGKILL may come

Half a request that becomes whole more than 0.7 s after SIGTERM was taken with all of its time; where upstreams hang and the longest deadline is over 3 s, SIGKILL may come before its end, and it is lost then. Its time is now cut to what the protocol leaves (LastCall), the attempt's with it.

--- a/larkweir/__main__.py
+++ b/larkweir/__main__.py
@@ -51,6 +51,7 @@
     settle_collector()
     await stopping.wait()
     longest_ms = max(item.deadline_ms for item in config.settings.classes)
+    single.last_call.begin(longest_ms)
     await drain(single.shared.clock, [single.listener], lambda: single.engine.owed, longest_ms)
     single.engine.source.stop()
     single.engine.upstreams.close()
--- a/larkweir/single.py
+++ b/larkweir/single.py
@@ -12,6 +12,7 @@
 from larkweir.core.log import report_loop_errors
 from larkweir.core.message import Message
 from larkweir.core.shared import Shared
+from larkweir.draining import LastCall
 from larkweir.engine import Decisions, Engine, PoolPlan
 from larkweir.listener import CallerConnection, Gone, Listener
 from larkweir.record import ENVIRONMENT, Recorder
@@ -24,9 +25,10 @@
 class PlatformFront:
     """Every request under `/api` goes to the one pool."""
 
-    def __init__(self, config: Config, engine: Engine, shared: Shared) -> None:
+    def __init__(self, config: Config, engine: Engine, shared: Shared, last_call: LastCall) -> None:
         self._engine = engine
         self._shared = shared
+        self._last_call = last_call
         self._requests = Requests(config.settings)
 
     @property
@@ -45,6 +47,7 @@
             return None
         event, left, trace = self._requests.read(message)
         refuse_known(self._shared.traces, trace)
+        left = event.time_left_ms = self._last_call.left(left)
         return partial(self._engine.client_gone, self._engine.arrive(caller, message, left, trace, event))
 
 
@@ -79,4 +82,6 @@
         self.discovery = made[0]
         if os.environ.get(ENVIRONMENT) == "1":
             self.engine.observe(Recorder(config.name, settings.tier, self.shared.clock.now_ms))
-        self.listener = Listener(config.listen, self.shared, PlatformFront(config, self.engine, self.shared))
+        self.last_call = LastCall(self.shared.clock)
+        front = PlatformFront(config, self.engine, self.shared, self.last_call)
+        self.listener = Listener(config.listen, self.shared, front)
--- a/tests/crossings/test_shutdown.py
+++ b/tests/crossings/test_shutdown.py
@@ -11,6 +11,7 @@
 
 from larkweir import draining
 from larkweir.listener import waits
+from larkweir.single import PlatformFront
 from tests.fakes import PATIENCE_S, Caller, FakeUpstream, Incoming, Running, Talk, ok, request_bytes, running
 from tests.test_attempts import run
 
@@ -175,6 +176,32 @@
     run(work())
 
 
+def test_a_request_that_comes_late_is_answered_before_it_could_be_killed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards the taken request with the longest deadline still to run: SIGKILL does not wait for it."""
+
+    async def work() -> None:
+        async def hangs(request: Incoming, talk: Talk) -> None:
+            await talk.ended()
+
+        monkeypatch.setattr(draining, "LATE_MS", 0.0)
+        monkeypatch.setattr(draining, "LONGEST_MS", 600.0)
+        upstream = await FakeUpstream(hangs).start()
+        async with running(upstream.entry("a")) as balancer, Caller(balancer.port) as caller:
+            front = balancer.listener.front
+            assert isinstance(front, PlatformFront)
+            begun = balancer.shared.clock.now_ms()
+            front._last_call.begin(8_000.0)
+            caller.ask("move", b"x")
+            assert (await caller.answer()).status in (502, 504)
+            assert balancer.shared.clock.now_ms() - begun < 8_000.0
+            assert int(upstream.seen[0].headers["x-expires-in-ms"]) <= 500
+        upstream.close()
+
+    run(work())
+
+
 def test_making_room_cuts_off_no_answer_that_has_not_left() -> None:
     """Guards the last answer of a connection: it is in no table of requests, and not with its caller."""
 
