Nothing is begun for a caller that has left, nor its last byte written

Terms: a request whose client left while it waited is not sent on.

Before a request is begun, and four times a second while one is out, the system is asked whether the caller has closed; the last byte is asked for again before it is written.

--- a/larkweir/listener.py
+++ b/larkweir/listener.py
@@ -386,7 +386,8 @@
             if spent > self.PART_MS:
                 self.abort()
         elif self._current is not None or self._waiting:
-            return
+            if self.departed():  # unseen while reading is paused
+                self.abort()
         elif self._place is not None:
             if self._terms is None or spent > self._terms.room_wait_ms:
                 self._finish_with(Fault(503, "out of memory for requests"))
@@ -413,7 +414,9 @@
         self._stepping = True
         try:
             while self._current is None and not self.ending and not self._blocked:
-                if self._waiting:
+                if self._waiting and self.departed():
+                    self.abort()  # nothing is begun for a caller that has left, whatever it sent before
+                elif self._waiting:
                     self._begin(self._waiting.popleft())
                 elif self._reader.fault is not None:
                     self._finish_with(self._reader.fault)
@@ -588,10 +591,10 @@
         self._leaving: dict[CallerConnection, None] = {}  # their last answer is given
         self._paused = False
         self._listening = False
+        self._stopping = False  # the listening socket is closed once nobody waits in it
         self._arriving: set[asyncio.Task[None]] = set()
 
     @property
-        self._stopping = False  # the listening socket is closed once nobody waits in it
     def ready(self) -> bool:
         return self._listening and not self.closing and self.front.ready
 
@@ -722,11 +725,11 @@
     def close(self) -> None:
         """Let the address go and end every connection."""
         self.stop_accepting()
+        self._let_address_go()
         for connection in list(self._connections):
             connection.abort()
 
     @property
-        self._let_address_go()
     def connections(self) -> int:
         return len(self._connections)
 
@@ -748,10 +751,6 @@
         if self._listening:  # one that is only bound has nothing to accept, and says so without end
             while self._accept():  # what the system has already accepted for us
                 pass
-            self._loop.remove_reader(self._socket)
-            self._listening = False
-        self._socket.close()
-        self._socket = None
             if waits(self._socket.fileno()):
                 return
         self._let_address_go()
@@ -760,11 +759,15 @@
         if self._socket is None:
             return
         if self._listening:
+            self._loop.remove_reader(self._socket)
+            self._listening = False
+        self._socket.close()
+        self._socket = None
 
     def end_idle(self) -> None:
-        for connection in list(self._connections):
-            if connection.let_go():
-                self.left(connection)
         """Let go what nothing is owed on; to be called again and again once accepting is to stop."""
         if self._stopping:
             self.stop_accepting()
+        for connection in list(self._connections):
+            if connection.let_go():
+                self.left(connection)
--- a/larkweir/upstreams.py
+++ b/larkweir/upstreams.py
@@ -118,6 +118,16 @@
 
     def write(self, connection: UpstreamConnection) -> bool:
         """Send it on a connection that is up, unless it is over; whether a byte was written."""
+        if not self.may_be_written():
+            return False
+        self.connection = connection
+        connection.send(self, self._request())
+        return True
+
+    def may_be_written(self) -> bool:
+        """Whether it still counts: asked before its first byte, and again before a last byte held back. If it
+        may not, it ends here.
+        """
         if self.ended:
             return False
         why = self._blocked()
@@ -453,7 +463,7 @@
         flow.attach(self)
 
     def _complete(self, call: Call) -> None:
-        if self._call is call and self._rest:
+        if self._call is call and self._rest and call.may_be_written():
             rest, self._rest = self._rest, b""
             self._write(rest)
 
