What comes before a request's last byte is written is another's answer

A second answer "some milliseconds late" met the next request on a kept connection: found quiet, written but for its last byte, and in those 2 ms the copy came and was passed on as its answer (served with what no upstream made for it). Nobody can have answered a request whose last byte is held back, so it goes out on a new connection, never having run. At fault: UpstreamConnection.buffer_updated. A connection to the process before a restart was kept too, when its call ended after the list had told of the restart (Upstreams.put).

--- a/larkweir/upstreams.py
+++ b/larkweir/upstreams.py
@@ -133,10 +133,7 @@
         why = self._blocked()
         if why is not None:
             self.end(why)
-            return False
-        self.connection = connection
-        connection.send(self, self._request())
-        return True
+        return why is None
 
     def time_out(self) -> None:
         """No answer in time; if it has not been written whole, it never will be."""
@@ -203,6 +200,7 @@
         self._pool = pool
         self.upstream = upstream
         self.address = upstream.address
+        self.started_ms = upstream.started_ms  # of the process that it leads to, as far as was told
         self._transport: asyncio.Transport | None = None
         self._reader = ResponseReader()
         self._call: Call | None = None
@@ -250,6 +248,11 @@
         if call is None:  # nothing was asked
             self.abort()
             return
+        if self._rest:
+            # Its last byte is held back, so nobody can have answered it: what comes is another's answer once
+            # more, and would be passed on as this one's.
+            self._give_back(call)
+            return
         call.touched = True
         events = self._reader.feed(SCRATCH[:nbytes])
         if self._head is not None:
@@ -425,12 +428,18 @@
         call = self._call
         if call is None:
             return
-        if self._rest and not call.touched:  # nobody has the request: it is as if it had not been begun
-            self._call = call.connection = None
-            self._pool.renew(call)
+        if self._rest:
+            self._give_back(call)
         else:
             call.broken()
 
+    def _give_back(self, call: Call) -> None:
+        """Nobody has the request: it is as if it had not been begun, and goes out on a new connection."""
+        self._rest = b""
+        self._call = call.connection = None
+        self.abort()
+        self._pool.renew(call)
+
     # Called by the pool and by calls.
 
     def send(self, call: Call, request: Message) -> None:
@@ -635,6 +644,7 @@
         """Keep a connection for the next call, if it still leads to an upstream that takes new ones."""
         upstream = connection.upstream
         stays = self.table.get(upstream.number) is upstream and upstream.address == connection.address
+        stays = stays and upstream.started_ms == connection.started_ms
         if not stays or connection not in self._open or upstream.state is not ServerState.READY:
             connection.abort()
             return
--- /dev/null
+++ b/tests/crossings/test_kept_connections.py
@@ -0,0 +1,78 @@
+"""What comes late on a kept connection crosses the next request on it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from mulleinhitch.interface import Outcome
+from tests.crossings.test_callers_leave import until
+from tests.fakes import PATIENCE_S, Caller, FakeUpstream, Incoming, Script, Talk, ok, running
+from tests.test_attempts import run
+
+
+async def name(request: Incoming, talk: Talk) -> None:
+    await talk.send(ok(request.target.encode()))
+
+
+def test_a_second_answer_while_the_last_byte_is_held_back_answers_no_other_request() -> None:
+    """Guards a caller against another's answer, which came after the connection was found quiet and before
+    its request was written whole.
+    """
+
+    async def work() -> None:
+        upstream = await FakeUpstream(name).start()
+        script = Script([1])
+        async with (
+            running(upstream.entry("a"), script=script) as balancer,
+            Caller(balancer.port) as caller,
+        ):
+            caller.ask("move", b"x", "/api?1")
+            assert (await caller.answer()).body == b"/api?1"
+            held: list[Callable[[], None]] = []
+            balancer.engine.upstreams.later = held.append  # type: ignore[method-assign]
+            caller.ask("move", b"x", "/api?2")
+            await until(lambda: held)
+            await upstream.talks[0].send(ok(b"/api?1"))
+            assert (await caller.answer()).body == b"/api?2"
+            held[0]()  # its moment comes, and finds nothing to write
+            await script.ended()
+        upstream.close()
+        assert [event.outcome for event in script.ends()] == [Outcome.OK, Outcome.OK]
+        assert [item.target for item in upstream.seen] == ["/api?1", "/api?2"]
+        assert upstream.connections == 2
+
+    run(work())
+
+
+def test_a_connection_to_the_process_before_a_restart_is_not_kept() -> None:
+    """A server restarts under its id and address while a call is out to the process before."""
+
+    async def work() -> None:
+        go = asyncio.Event()
+
+        async def held(request: Incoming, talk: Talk) -> None:
+            await go.wait()
+            await talk.send(ok())
+
+        upstream = await FakeUpstream(held).start()
+        async with (
+            running(upstream.entry("a"), script=Script([1])) as balancer,
+            Caller(balancer.port) as caller,
+        ):
+            caller.ask("move", b"x")
+            await until(lambda: upstream.seen)
+            balancer.discovery.change(upstream.entry("a", startedAtMs=1_000))
+            table = balancer.engine.upstreams.table
+            await until(lambda: table[1].started_ms == 1_000)
+            go.set()
+            assert (await caller.answer()).status == 200
+            async with asyncio.timeout(PATIENCE_S):
+                while balancer.engine.upstreams.sockets:
+                    await asyncio.sleep(0.001)
+            caller.ask("move", b"x")
+            assert (await caller.answer()).status == 200
+            assert upstream.connections == 2
+        upstream.close()
+
+    run(work())
