Calls to discovery: what crosses them is settled by one counter and one event

A silent watch is now seen 0.5 s past its wait. - A whole list and a watch's changes that cross: whichever was told later won, so an older list brought a draining server back. An answer older than what was told since its call began changes nothing (Discovery._count); lower numbers with nothing told meanwhile are discovery counting anew. - A connection reset between its coming up and the call on it: the call waited out its whole time, 21.5 s for a watch (_Connection.get). - A connection that never comes up took the watch's 21.5 s (_connect). - SIGHUP while the decisions paused after failures: one whole list was asked for at the new address, and if that failed the old pause, up to 15 s, held, for 4 s after the signal. The move is now told (ListKind.MOVED), and the decisions subscribe at once.

--- a/larkweir/sources/discovery.py
+++ b/larkweir/sources/discovery.py
@@ -172,6 +172,8 @@
 
     async def get(self, target: bytes, host: bytes) -> Message:
         assert self._transport is not None
+        if not self.open:  # guards against waiting on a connection that was reset as soon as it was up
+            raise DiscoveryError("the connection ended")
         self._answer = asyncio.get_running_loop().create_future()
         self._transport.write(encode_request(b"GET", target, ((b"Host", host),), b""))
         return await self._answer
@@ -184,10 +186,13 @@
 
     WAIT_S = 20.0
     PUSHED_WAIT_S = 4.0  # asking costs nothing there, and a connection that has died shows sooner
-    GRACE_S = 1.5  # past the wait, for the answer to come
+    # Past the wait, for the answer to come. What a silent watch misses counts as told 2 s past it: the rest
+    # of that is left for a new call, which waits its turn.
+    GRACE_S = 0.5
     # For a call that need not wait: longer than discovery, which takes calls in turn, keeps one (3 s).
     # Guards against losing the turn and asking anew, again and again, while discovery is busy.
     CALL_S = 3.5
+    CONNECT_S = 1.0  # a connection is up at once or not at all: it does not wait its turn as a call does
     PACE_S = 0.025  # at least from call to call; well under what ends a watch
     FIRST_PAUSE_S = 0.05
     LONGEST_PAUSE_S = 1.0
@@ -208,6 +213,7 @@
         self._log = log
         self._rng = Random(plan.seed)
         self._version: int | None = None
+        self._told = 0  # answers that have counted
         self._connection: _Connection | None = None
         self._watch: asyncio.Task[None] | None = None
         self._fetch: asyncio.Task[None] | None = None
@@ -257,16 +263,15 @@
         self._address = address
         self._host = f"{address[0]}:{address[1]}".encode()
         self._version = None  # the old agent's; what the new one calls newer is not measured against it
-        watching = self._watch is not None and not self._watch.done()
         for task in (self._watch, self._fetch):
             if task is not None:
                 task.cancel()
         self._watch = self._fetch = None
         self._drop()
-        if watching or not self._asked:
-            self._watch = asyncio.get_running_loop().create_task(self._follow())
+        if self._asked:  # when to ask is theirs to decide
+            self._tell(Listing(ListKind.MOVED, 0, (), ()))
         else:
-            self.fetch()
+            self._watch = asyncio.get_running_loop().create_task(self._follow())
 
     def stop(self) -> None:
         self._stopped = True
@@ -295,6 +300,7 @@
 
     async def _round(self) -> None:
         """One call: of the watch, or for the whole list where the watch can't go on from what is held."""
+        told = self._told
         if self._version is None:
             listing = await self._call(b"/v1/endpoints", self.CALL_S)
             if listing.kind is not ListKind.FULL:
@@ -307,19 +313,30 @@
             if listing.kind is ListKind.DELTA and listing.version < after:
                 self._version = None  # these are changes to another list than the one held
                 return
+        self._count(listing, told)
+
+    def _count(self, listing: Listing, told: int) -> None:
+        """Take an answer over, unless something newer was told after its call began (`told` as of then). An
+        older version with nothing told in between is discovery counting anew.
+        """
+        held = self._version
+        if told != self._told and held is not None and listing.version < held:
+            listing = Listing(ListKind.DELTA, held, (), ())  # its call is answered, and nothing changes
+        else:
+            self._told += 1
         self._version = listing.version
         self._tell(listing)
 
     async def _fetch_once(self) -> None:
         connection = _Connection()
+        told = self._told
         try:
             async with asyncio.timeout(self.CALL_S):
-                await asyncio.get_running_loop().create_connection(lambda: connection, *self._address)
+                await self._connect(connection)
                 listing = self._read(await connection.get(b"/v1/endpoints", self._host))
             if listing.kind is not ListKind.FULL:
                 raise DiscoveryError("the whole list was asked for and changes came")
-            self._version = listing.version
-            self._tell(listing)
+            self._count(listing, told)
         except (DiscoveryError, OSError) as problem:
             self._log(f"discovery: {str(problem) or type(problem).__name__}")
             self._tell(Listing(ListKind.FAILED, self._version or 0, (), ()))
@@ -329,10 +346,14 @@
     async def _call(self, target: bytes, timeout_s: float) -> Listing:
         async with asyncio.timeout(timeout_s):
             if self._connection is None or not self._connection.open:
-                connection = self._connection = _Connection()
-                await asyncio.get_running_loop().create_connection(lambda: connection, *self._address)
+                self._connection = _Connection()
+                await self._connect(self._connection)
             return self._read(await self._connection.get(target, self._host))
 
+    async def _connect(self, connection: _Connection) -> None:
+        async with asyncio.timeout(self.CONNECT_S):
+            await asyncio.get_running_loop().create_connection(lambda: connection, *self._address)
+
     def _read(self, answer: Message) -> Listing:
         if answer.status != 200:
             raise DiscoveryError(f"answered {answer.status}")
--- a/mulleinhitch/asking.py
+++ b/mulleinhitch/asking.py
@@ -62,6 +62,10 @@
             spread = min(self.SPREAD_MS * self._settings.copies, self._settings.ask_within_ms / 4.0)
             plan = self._in(self._rng.random() * spread, now_ms)
             self._old = True
+        elif kind is ListKind.MOVED:
+            # What was planned is void with the old address; what the new one has counts as told soon.
+            self._backoff_ms = self._doubt_ms = 0.0
+            plan = self._ask()
         elif kind is not ListKind.CACHED:
             self._backoff_ms = self._doubt_ms = 0.0
         self._booted = True
--- a/mulleinhitch/interface.py
+++ b/mulleinhitch/interface.py
@@ -70,6 +70,7 @@
     DELTA = "delta"  # changed entries only
     CACHED = "cached"  # the whole list as last held; may be old
     FAILED = "failed"  # a call to discovery failed or the subscription broke; no entries
+    MOVED = "moved"  # discovery is at another address, and calls out to the old one ended; no entries
 
 
 class ReportMode(Enum):
