A probe's time covers the connection that it may have to open, by the settings

50 ms were fixed for both; a site whose connections may take longer to come up could never have a probe answered on a new one.

--- a/larkweir/engine.py
+++ b/larkweir/engine.py
@@ -209,7 +209,7 @@
 
 
 class Engine:
-    PROBE_TIMEOUT_MS = 50.0
+    PROBE_TIMEOUT_MS = 50.0  # for its answer; a new connection may take its own time before that
     PACE_MS = 250.0  # between two looks at how fast the flows move
 
     def __init__(
@@ -680,4 +680,4 @@
             now,
             probe=True,
         )
-        self.upstreams.start(call, self.PROBE_TIMEOUT_MS)
+        self.upstreams.start(call, self.PROBE_TIMEOUT_MS + self.plan.settings.connect_timeout_ms)
