A last byte held back is not written to a connection whose end waits unread

Timers run before what waits to be read in the same turn of the loop: as the 2 ms of a last byte are over on a busy copy, the reset that came meanwhile is still unread, the byte is written, and an unsafe request ends as a reset that may have run. At fault: UpstreamConnection._complete, which did not look. Found by reading; the test holds the loop still between the end and the moment of the byte, and fails on the version before.

--- a/larkweir/upstreams.py
+++ b/larkweir/upstreams.py
@@ -472,9 +472,14 @@
         flow.attach(self)
 
     def _complete(self, call: Call) -> None:
-        if self._call is call and self._rest and call.may_be_written():
-            rest, self._rest = self._rest, b""
-            self._write(rest)
+        if self._call is not call or not self._rest or not call.may_be_written():
+            return
+        if not self.usable():
+            # Its end is there and not yet read: timers run before what waits to be read.
+            self._give_back(call)
+            return
+        rest, self._rest = self._rest, b""
+        self._write(rest)
 
     def _write(self, data: bytes) -> None:
         assert self._transport is not None and self._call is not None
--- a/tests/crossings/test_kept_connections.py
+++ b/tests/crossings/test_kept_connections.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable
 
 from mulleinhitch.interface import Outcome
 from tests.crossings.test_callers_leave import until
-from tests.fakes import PATIENCE_S, Caller, FakeUpstream, Incoming, Script, Talk, ok, running
+from tests.fakes import PATIENCE_S, Caller, FakeUpstream, Incoming, Script, Talk, entry, ok, running
 from tests.test_attempts import run
 
 
@@ -76,3 +77,53 @@
         upstream.close()
 
     run(work())
+
+
+def test_a_connection_that_ends_while_the_last_byte_is_held_back_is_left() -> None:
+    """Guards unsafe requests: the end waits in the system, unread, as the moment of the last byte comes.
+    Written then, the request may have run, and nobody may repeat it.
+    """
+
+    async def work() -> None:
+        listener = socket.create_server(("127.0.0.1", 0))
+        listener.settimeout(PATIENCE_S)
+        script = Script([1])
+        async with (
+            running(entry("a", listener.getsockname()[1]), script=script) as balancer,
+            Caller(balancer.port) as caller,
+        ):
+            pool = balancer.engine.upstreams
+            caller.ask("move", b"x", "/api?1")
+            first = await asyncio.to_thread(lambda: listener.accept()[0])
+            await asyncio.to_thread(whole, first)
+            first.sendall(ok())
+            assert (await caller.answer()).status == 200
+            held: list[Callable[[], None]] = []
+            pool.later = held.append  # type: ignore[method-assign]
+            caller.ask("move", b"x", "/api?2")
+            await until(lambda: held)
+            (kept,) = pool._open
+            first.close()
+            while kept._poll.poll(0) == []:  # the loop stands still meanwhile
+                pass
+            held[0]()
+            second = await asyncio.to_thread(lambda: listener.accept()[0])
+            assert b"/api?2" in await asyncio.to_thread(whole, second)
+            second.sendall(ok())
+            assert (await caller.answer()).status == 200
+            second.close()
+        listener.close()
+        assert [event.outcome for event in script.ends()] == [Outcome.OK, Outcome.OK]
+
+    run(work())
+
+
+def whole(connection: socket.socket) -> bytes:
+    """One request with a body of one byte."""
+    connection.settimeout(PATIENCE_S)
+    came = b""
+    while not came.endswith(b"\r\n\r\nx"):
+        part = connection.recv(4096)
+        assert part, came
+        came += part
+    return came
