--- a/tests/crossings/test_kept_connections.py
+++ b/tests/crossings/test_kept_connections.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import struct
 from collections.abc import Callable
 
 from mulleinhitch.interface import Outcome
@@ -118,6 +119,60 @@
     run(work())
 
 
+def test_an_answer_and_a_reset_that_come_together_are_an_answer() -> None:
+    """Both wait in the system as the loop looks: the answer is whole, and its request is served."""
+
+    async def work() -> None:
+        listener = socket.create_server(("127.0.0.1", 0))
+        listener.settimeout(PATIENCE_S)
+        script = Script([1])
+        async with (
+            running(entry("a", listener.getsockname()[1]), script=script) as balancer,
+            Caller(balancer.port) as caller,
+        ):
+            caller.ask("move", b"x")
+            served = await asyncio.to_thread(lambda: listener.accept()[0])
+            await asyncio.to_thread(whole, served)
+            served.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            served.sendall(ok())  # no await between the two: the loop reads neither before the other
+            served.close()
+            assert (await caller.answer()).status == 200
+        listener.close()
+        assert [event.outcome for event in script.ends()] == [Outcome.OK]
+
+    run(work())
+
+
+def test_a_time_out_that_goes_before_an_answer_unread_is_final() -> None:
+    """An unsafe call times out as its answer waits in the system: it has failed, once, and nobody gets it."""
+
+    async def work() -> None:
+        listener = socket.create_server(("127.0.0.1", 0))
+        listener.settimeout(PATIENCE_S)
+        script = Script([1])
+        async with (
+            running(entry("a", listener.getsockname()[1]), script=script) as balancer,
+            Caller(balancer.port) as caller,
+        ):
+            caller.ask("move", b"x")
+            served = await asyncio.to_thread(lambda: listener.accept()[0])
+            await asyncio.to_thread(whole, served)
+            (connection,) = balancer.engine.upstreams._open
+            call = connection._call
+            assert call is not None
+            served.sendall(ok())
+            while connection._poll.poll(0) == []:  # the loop stands still meanwhile
+                pass
+            call.time_out()
+            assert (await caller.answer()).status == 502
+            await until(lambda: not balancer.engine.upstreams.sockets)
+            served.close()
+        listener.close()
+        assert [event.outcome for event in script.ends()] == [Outcome.TIMEOUT]
+
+    run(work())
+
+
 def whole(connection: socket.socket) -> bytes:
     """One request with a body of one byte."""
     connection.settimeout(PATIENCE_S)
