Copies that have had no list yet keep the longer pause after a failed call

At fault: the short pauses after a broken watch, which counted at the start too. They hold now where a list has come since the last failure; at the start it is 2 s as it was.

--- a/mulleinhitch/asking.py
+++ b/mulleinhitch/asking.py
@@ -32,8 +32,10 @@
     """
 
     SPREAD_MS = 250.0  # for each copy: about as long as a call takes discovery
-    # After a second failure in a row. What a silent watch misses counts as told 2 s after its wait, and the
-    # silence shows 1.5 s after it: both calls have to fit in what is left, and in the grace.
+    # After the first failure where no list has come yet: copies that start together would ask in step.
+    FIRST_MS = 2_000.0
+    # After the second in a row where one had. What a silent watch misses counts as told 2 s after its wait,
+    # and the silence shows half a second after it: both calls fit in what is left, and in the grace.
     BACKOFF_MS = 500.0
     DOUBT_MS = 2_000.0  # about as long as news of a server take to come by the list
 
@@ -41,7 +43,7 @@
         self._settings = settings
         self._rng = rng
         self._booted = False
-        self._backoff_ms = 0.0
+        self._backoff_ms = self.FIRST_MS  # 0: a list has come since the last failure
         self._at = math.inf  # when the list is to be asked for: one plan at a time
         self._old = False  # the cached list is all there is so far
         self._doubted: Doubted | None = None  # listed as ready, but turns calls away
@@ -72,8 +74,8 @@
         return plan
 
     def _pause(self) -> float:
-        """From a failure to the next call. The first in a row is mostly a watch that broke or fell silent:
-        all that came since is unknown, so it is opened anew at once.
+        """From a failure to the next call. The first in a row after a list is a watch that broke or fell
+        silent: all that came since is unknown, so it is opened anew at once.
         """
         if not self._backoff_ms:
             self._backoff_ms = self.BACKOFF_MS
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -487,20 +487,38 @@
     bench.advance(2000.0)
     assert [a for a in bench.actions if isinstance(a, WatchList)] == [WatchList(True)]
     gaps = []
-    for _ in range(6):
+    for _ in range(4):
         start = bench.now
         bench.feed(ListUpdate(ListKind.FAILED))
         before = sum(isinstance(a, WatchList) for a in bench.actions)
         while sum(isinstance(a, WatchList) for a in bench.actions) == before:
-            bench.advance(50.0)
+            bench.advance(100.0)
         gaps.append(bench.now - start)
-    # A silent watch shows 1.5 s past its wait, and 2 s past it what it missed counts as told: one call at
-    # once, and one more before the shortest grace in use (0.7 s) is over too.
-    assert gaps[0] <= 300.0 and gaps[0] + gaps[1] <= 500.0 + 700.0
     assert max(gaps) <= 1.5 * 8000.0
     assert gaps[-1] > 3000.0
 
 
+def test_a_watch_that_breaks_is_opened_anew_at_once_and_backs_off_from_there() -> None:
+    # A silent watch shows half a second past its wait, and 2 s past it what it missed counts as told: one
+    # call at once, and one more before the shortest grace in use (0.7 s) is over too.
+    settings = replace(PLAIN, on_request_discovery=True, ask_within_ms=8000.0)
+    for seed in range(20):
+        bench = driver(settings, seed=seed)
+        bench.advance(2000.0)
+        bench.feed(ListUpdate(ListKind.DELTA, 2))  # the watch lives, and breaks
+        gaps = []
+        for _ in range(6):
+            start = bench.now
+            bench.feed(ListUpdate(ListKind.FAILED))
+            before = sum(isinstance(a, WatchList) for a in bench.actions)
+            while sum(isinstance(a, WatchList) for a in bench.actions) == before:
+                bench.advance(50.0)
+            gaps.append(bench.now - start)
+        assert gaps[0] <= 300.0 and gaps[0] + gaps[1] <= 500.0 + 700.0
+        assert max(gaps) <= 1.5 * 8000.0
+        assert gaps[-1] > 3000.0
+
+
 def test_fresh_copies_do_not_all_ask_discovery_at_once() -> None:
     settings = replace(PLAIN, on_request_discovery=True, ask_within_ms=8000.0, copies=40)
     asked = []
