Tests of crossings share one harness: barriers, held servers, peers by hand

The same waits, the server that answers once it may, and the accept with its first request stood in four files, and `/ready` was polled by a twin of test_process.ready, which now takes the status.

--- a/tests/crossings/test_callers_leave.py
+++ b/tests/crossings/test_callers_leave.py
@@ -11,30 +11,20 @@
 from larkweir.upstreams import UpstreamConnection
 from mulleinhitch import Balancer
 from mulleinhitch.interface import Action, ClientGone, Event, RequestArrived, TimerFired
-from tests.crossings.test_shutdown import dial
-from tests.fakes import PATIENCE_S, FakeUpstream, Incoming, Script, Talk, ok, request_bytes, running, status
+from tests.crossings.harness import dial, holds, until
+from tests.fakes import PATIENCE_S, FakeUpstream, Incoming, Script, Talk, request_bytes, running, status
 from tests.test_attempts import run
 
 LATER_S = 0.3  # from which on nothing may be sent
 
 
-async def until(what: Callable[[], object]) -> None:
-    async with asyncio.timeout(PATIENCE_S):
-        while not what():
-            await asyncio.sleep(0.001)
-
-
 def test_behind_requests_sent_ahead_with_reading_paused() -> None:
     """Guards against serving a caller that has left: with reading paused its end is not seen."""
 
     async def work() -> None:
         go = asyncio.Event()
 
-        async def held(request: Incoming, talk: Talk) -> None:
-            await go.wait()
-            await talk.send(ok())
-
-        upstream = await FakeUpstream(held).start()
+        upstream = await FakeUpstream(holds(go)).start()
         script = Script([1])
         async with running(upstream.entry("a"), script=script) as balancer:
             caller = dial(balancer.port)
@@ -63,11 +53,7 @@
     async def work() -> None:
         go = asyncio.Event()
 
-        async def held(request: Incoming, talk: Talk) -> None:
-            await go.wait()
-            await talk.send(ok())
-
-        upstream = await FakeUpstream(held).start()
+        upstream = await FakeUpstream(holds(go)).start()
         async with running(upstream.entry("a"), script=Script([1])) as balancer:
             caller = dial(balancer.port)
             caller.sendall(b"".join(request_bytes() for _ in range(4)))
--- a/tests/crossings/test_kept_connections.py
+++ b/tests/crossings/test_kept_connections.py
@@ -7,12 +7,19 @@
 import struct
 from collections.abc import Callable
 
+from larkweir.upstreams import UpstreamConnection
 from mulleinhitch.interface import Outcome
-from tests.crossings.test_callers_leave import until
+from tests.crossings.harness import accepted, holds, until, until_unread
 from tests.fakes import PATIENCE_S, Caller, FakeUpstream, Incoming, Script, Talk, entry, ok, running
 from tests.test_attempts import run
 
 
+def own_end(connection: UpstreamConnection) -> int:
+    """The balancer's end of a connection to a server."""
+    assert connection._transport is not None
+    return int(connection._transport.get_extra_info("socket").fileno())
+
+
 async def name(request: Incoming, talk: Talk) -> None:
     await talk.send(ok(request.target.encode()))
 
@@ -53,11 +60,7 @@
     async def work() -> None:
         go = asyncio.Event()
 
-        async def held(request: Incoming, talk: Talk) -> None:
-            await go.wait()
-            await talk.send(ok())
-
-        upstream = await FakeUpstream(held).start()
+        upstream = await FakeUpstream(holds(go)).start()
         async with (
             running(upstream.entry("a"), script=Script([1])) as balancer,
             Caller(balancer.port) as caller,
@@ -69,9 +72,7 @@
             await until(lambda: table[1].started_ms == 1_000)
             go.set()
             assert (await caller.answer()).status == 200
-            async with asyncio.timeout(PATIENCE_S):
-                while balancer.engine.upstreams.sockets:
-                    await asyncio.sleep(0.001)
+            await until(lambda: not balancer.engine.upstreams.sockets)
             caller.ask("move", b"x")
             assert (await caller.answer()).status == 200
             assert upstream.connections == 2
@@ -95,8 +96,7 @@
         ):
             pool = balancer.engine.upstreams
             caller.ask("move", b"x", "/api?1")
-            first = await asyncio.to_thread(lambda: listener.accept()[0])
-            await asyncio.to_thread(whole, first)
+            first, _ = await accepted(listener)
             first.sendall(ok())
             assert (await caller.answer()).status == 200
             held: list[Callable[[], None]] = []
@@ -105,11 +105,10 @@
             await until(lambda: held)
             (kept,) = pool._open
             first.close()
-            while kept._poll.poll(0) == []:  # the loop stands still meanwhile
-                pass
+            until_unread(own_end(kept))
             held[0]()
-            second = await asyncio.to_thread(lambda: listener.accept()[0])
-            assert b"/api?2" in await asyncio.to_thread(whole, second)
+            second, request = await accepted(listener)
+            assert b"/api?2" in request
             second.sendall(ok())
             assert (await caller.answer()).status == 200
             second.close()
@@ -131,8 +130,7 @@
             Caller(balancer.port) as caller,
         ):
             caller.ask("move", b"x")
-            served = await asyncio.to_thread(lambda: listener.accept()[0])
-            await asyncio.to_thread(whole, served)
+            served, _ = await accepted(listener)
             served.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             served.sendall(ok())  # no await between the two: the loop reads neither before the other
             served.close()
@@ -155,14 +153,12 @@
             Caller(balancer.port) as caller,
         ):
             caller.ask("move", b"x")
-            served = await asyncio.to_thread(lambda: listener.accept()[0])
-            await asyncio.to_thread(whole, served)
+            served, _ = await accepted(listener)
             (connection,) = balancer.engine.upstreams._open
             call = connection._call
             assert call is not None
             served.sendall(ok())
-            while connection._poll.poll(0) == []:  # the loop stands still meanwhile
-                pass
+            until_unread(own_end(connection))
             call.time_out()
             assert (await caller.answer()).status == 502
             await until(lambda: not balancer.engine.upstreams.sockets)
@@ -171,14 +167,3 @@
         assert [event.outcome for event in script.ends()] == [Outcome.TIMEOUT]
 
     run(work())
-
-
-def whole(connection: socket.socket) -> bytes:
-    """One request with a body of one byte."""
-    connection.settimeout(PATIENCE_S)
-    came = b""
-    while not came.endswith(b"\r\n\r\nx"):
-        part = connection.recv(4096)
-        assert part, came
-        came += part
-    return came
--- a/tests/crossings/test_shutdown.py
+++ b/tests/crossings/test_shutdown.py
@@ -10,25 +10,12 @@
 import pytest
 
 from larkweir import draining
-from larkweir.listener import waits
 from larkweir.single import PlatformFront
+from tests.crossings.harness import dial, holds, until, until_unread
 from tests.fakes import PATIENCE_S, Caller, FakeUpstream, Incoming, Running, Talk, ok, request_bytes, running
 from tests.test_attempts import run
 
 
-def dial(port: int) -> socket.socket:
-    """A caller whose bytes reach the system at once, while the loop stands still."""
-    caller = socket.create_connection(("127.0.0.1", port), timeout=PATIENCE_S)
-    caller.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    return caller
-
-
-def until_unread(descriptor: int) -> None:
-    """Loopback delivers at once, but not in the sender's own call."""
-    while not waits(descriptor):
-        pass
-
-
 async def said(caller: socket.socket) -> bytes:
     """All that comes until the balancer closes; a reset ends it too."""
     caller.setblocking(False)
@@ -67,11 +54,8 @@
         upstream = await FakeUpstream().start()
         async with running(upstream.entry("a")) as balancer:
             caller = dial(balancer.port)
-            async with asyncio.timeout(PATIENCE_S):
-                while not balancer.listener.connections:
-                    await asyncio.sleep(0.001)
-                while next(iter(balancer.listener._connections))._transport is None:
-                    await asyncio.sleep(0.001)
+            await until(lambda: balancer.listener.connections)
+            await until(lambda: next(iter(balancer.listener._connections))._transport is not None)
             (connection,) = balancer.listener._connections
             look = balancer.listener.end_idle
 
@@ -97,11 +81,7 @@
     async def work() -> None:
         go = asyncio.Event()
 
-        async def held(request: Incoming, talk: Talk) -> None:
-            await go.wait()
-            await talk.send(ok())
-
-        upstream = await FakeUpstream(held).start()
+        upstream = await FakeUpstream(holds(go)).start()
         async with running(upstream.entry("a")) as balancer:
             balancer.shared.caller_budget = 2
             callers = [dial(balancer.port) for _ in range(6)]
@@ -112,9 +92,7 @@
                     await upstream.arrived.get()
             ending = asyncio.create_task(drained(balancer))
             await asyncio.sleep(0)
-            async with asyncio.timeout(PATIENCE_S):
-                while not balancer.listener._stopping:
-                    await asyncio.sleep(0.001)
+            await until(lambda: balancer.listener._stopping)
             go.set()
             answers = [await said(caller) for caller in callers]
             assert all(answer.startswith(b"HTTP/1.1 200") for answer in answers)
@@ -136,9 +114,7 @@
         async with running(upstream.entry("a")) as balancer:
             caller = dial(balancer.port)
             caller.sendall(request_bytes())
-            async with asyncio.timeout(PATIENCE_S):
-                while not balancer.listener._idle:
-                    await asyncio.sleep(0.001)
+            await until(lambda: balancer.listener._idle)
             (connection,) = balancer.listener._connections
             balancer.listener.stop_accepting()
             balancer.listener.end_idle()
@@ -160,9 +136,7 @@
         async with running(upstream.entry("a")) as balancer:
             caller = dial(balancer.port)
             caller.sendall(request_bytes(Connection="close"))
-            async with asyncio.timeout(PATIENCE_S):
-                while not balancer.listener._leaving:
-                    await asyncio.sleep(0.001)
+            await until(lambda: balancer.listener._leaving)
             caller.sendall(b"noise")
             ending = asyncio.create_task(drained(balancer))
             for _ in range(5):
@@ -217,16 +191,12 @@
             caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
             caller.settimeout(PATIENCE_S)
             caller.connect(("127.0.0.1", balancer.port))
-            async with asyncio.timeout(PATIENCE_S):
-                while not any(item._transport for item in balancer.listener._connections):
-                    await asyncio.sleep(0.001)
+            await until(lambda: any(item._transport for item in balancer.listener._connections))
             (accepted,) = balancer.listener._connections
             assert accepted._transport is not None
             accepted._transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
             caller.sendall(request_bytes(Connection="close"))
-            async with asyncio.timeout(PATIENCE_S):
-                while not balancer.listener._leaving:
-                    await asyncio.sleep(0.001)
+            await until(lambda: balancer.listener._leaving)
             (connection,) = balancer.listener._leaving
             assert connection.undelivered
             assert not balancer.listener._make_room()
@@ -244,9 +214,7 @@
         async with running(upstream.entry("a")) as balancer:
             caller = dial(balancer.port)
             caller.sendall(request_bytes())
-            async with asyncio.timeout(PATIENCE_S):
-                while not balancer.listener._idle:
-                    await asyncio.sleep(0.001)
+            await until(lambda: balancer.listener._idle)
             (connection,) = balancer.listener._connections
             caller.sendall(request_bytes("move", b"x", Connection="close"))
             until_unread(connection._descriptor)
--- a/tests/crossings/test_signals.py
+++ b/tests/crossings/test_signals.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from standins.ports import free_port
+from tests.crossings.harness import holds
 from tests.fakes import PATIENCE_S, Caller, FakeDiscovery, FakeUpstream, Incoming, Talk, config_data, ok
 from tests.test_attempts import run
 from tests.test_process import ready, spawn
@@ -28,20 +29,6 @@
             await process.wait()
 
 
-async def answers(port: int, status: int) -> None:
-    """Until `/ready` answers so."""
-    async with asyncio.timeout(PATIENCE_S):
-        while True:
-            try:
-                async with Caller(port) as caller:
-                    caller.ask(target="/ready")
-                    if (await caller.answer()).status == status:
-                        return
-            except (ConnectionError, AssertionError):
-                pass
-            await asyncio.sleep(0.02)
-
-
 def test_sigterm_before_it_is_ready(tmp_path: Path) -> None:
     """It listens, knows no server, and its call for the list is out: nothing is owed, and it ends."""
 
@@ -51,7 +38,7 @@
         port = free_port()
         data = config_data([], discovery.port, listen=f"127.0.0.1:{port}", known={})
         async with started(tmp_path / "config.json", data) as process:
-            await answers(port, 503)
+            await ready(port, 503)
             await discovery.calls.get()
             process.send_signal(signal.SIGTERM)
             async with asyncio.timeout(PATIENCE_S):
@@ -67,20 +54,16 @@
     async def work() -> None:
         go = asyncio.Event()
 
-        async def held(request: Incoming, talk: Talk) -> None:
-            await go.wait()
-            await talk.send(ok())
-
-        upstream = await FakeUpstream(held).start()
+        upstream = await FakeUpstream(holds(go)).start()
         discovery = await FakeDiscovery([upstream.entry("a")]).start()
         port = free_port()
         data = config_data([upstream.entry("a")], discovery.port, listen=f"127.0.0.1:{port}")
-        async with started(tmp_path / "config.json", data) as process, AsyncCaller(port) as out:
+        async with started(tmp_path / "config.json", data) as process, PatientCaller(port) as out:
             out.ask("move", b"x")
             await upstream.arrived.get()
             for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGTERM, signal.SIGHUP):
                 process.send_signal(number)
-            await answers(port, 503)
+            await ready(port, 503)
             process.send_signal(signal.SIGTERM)
             go.set()
             answer = await out.answer()
@@ -94,7 +77,7 @@
     run(work())
 
 
-class AsyncCaller(Caller):
+class PatientCaller(Caller):
     """A caller that waits until the program serves."""
 
     async def __aenter__(self) -> Caller:
@@ -108,20 +91,16 @@
     async def work() -> None:
         go = asyncio.Event()
 
-        async def held(request: Incoming, talk: Talk) -> None:
-            await go.wait()
-            await talk.send(ok(b"old"))
-
         async def serves(request: Incoming, talk: Talk) -> None:
             await talk.send(ok(b"new"))
 
-        old, new = await FakeUpstream(held).start(), await FakeUpstream(serves).start()
+        old, new = await FakeUpstream(holds(go, b"old")).start(), await FakeUpstream(serves).start()
         discovery = await FakeDiscovery([old.entry("a")]).start()
         port = free_port()
         data = config_data([old.entry("a")], discovery.port, listen=f"127.0.0.1:{port}")
         async with (
             started(tmp_path / "config.json", data) as process,
-            AsyncCaller(port) as out,
+            PatientCaller(port) as out,
             Caller(port) as kept,
         ):
             kept.ask(target="/ready")
@@ -129,7 +108,7 @@
             out.ask("move", b"x")
             await old.arrived.get()
             process.send_signal(signal.SIGTERM)
-            await answers(port, 503)
+            await ready(port, 503)
             discovery.change(old.entry("a", lifecycle="leaving"), new.entry("b"))
             async with asyncio.timeout(PATIENCE_S):
                 while f"after={discovery.generation}&" not in await discovery.calls.get():
@@ -164,7 +143,7 @@
         known = {"generation": 41, "reset": True, "instances": [one.entry("a")]}
         data = config_data([one.entry("a")], old.port, listen=f"127.0.0.1:{port}", known=known)
         path = tmp_path / "config.json"
-        async with started(path, data) as process, AsyncCaller(port) as caller:
+        async with started(path, data) as process, PatientCaller(port) as caller:
             path.write_text(json.dumps(data | {"discovery": f"127.0.0.1:{free_port()}"}))
             process.send_signal(signal.SIGHUP)
             assert process.stderr is not None
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -51,13 +51,14 @@
     )
 
 
-async def ready(port: int) -> None:
+async def ready(port: int, status: int = 200) -> None:
+    """Until `/ready` answers so."""
     async with asyncio.timeout(PATIENCE_S):
         while True:
             try:
                 async with Caller(port) as caller:
                     caller.ask(target="/ready")
-                    if (await caller.answer()).status == 200:
+                    if (await caller.answer()).status == status:
                         return
             except (ConnectionError, AssertionError):
                 pass
