--- a/larkweir/config/check.py
+++ b/larkweir/config/check.py
@@ -266,6 +266,7 @@
         tier=pool.tier,
         tiers=pool.tier + 1,
         on_request_discovery=bool(pool.source and pool.source.ask),
+        watch_renewed=pool.source is not None,
         cold_share=pool.cold_share,
         cold_ms=pool.cold_ms,
         max_attempts=pool.max_attempts,
--- a/larkweir/config/platform.py
+++ b/larkweir/config/platform.py
@@ -6,7 +6,7 @@
 import os
 import resource
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from larkweir.core.address import Address, ConfigError, parse_address
@@ -98,7 +98,7 @@
         seed=_seed(data.get("seed", "0")),
         sockets=_sockets(data),
         memory_mb=_memory(data),
-        settings=settings,
+        settings=replace(settings, watch_renewed=True),
         zones=_names(facts, "Zones"),
         kinds=_names(facts, "MachineTypes"),
         report_names=_names(_object(facts.get("Stats", {}), "settings.Stats"), "Fields"),
--- a/larkweir/engine.py
+++ b/larkweir/engine.py
@@ -179,7 +179,8 @@
 
     def fetch(self) -> None: ...
 
-    def watch(self, active: bool) -> None: ...
+    def watch(self, order: WatchList) -> None:
+        """Make that call in place of the one that is out; its end is told under its number."""
 
     def retell(self) -> None:
         """Tell the whole list as last known, or fetch it."""
@@ -190,7 +191,7 @@
 
     def saw(self, event: Event, actions: Sequence[Action]) -> None: ...
 
-    def hear_list(self, update: ListUpdate, addresses: Sequence[str]) -> None: ...
+    def hear_list(self, update: ListUpdate, addresses: Sequence[str], why: str = "") -> None: ...
 
 
 SourceMaker = Callable[[Callable[[Listing], None], Callable[[str], None]], Source]
@@ -319,9 +320,9 @@
         for entry, address in zip(listing.entries, listing.addresses, strict=True):
             self._entries[entry.server] = entry
             self.upstreams.update(entry.server, address, entry.state, entry.started_ms)
-        update = ListUpdate(listing.kind, listing.version, listing.entries)
+        update = ListUpdate(listing.kind, listing.version, listing.entries, listing.call)
         if self.observer is not None:
-            self.observer.hear_list(update, list(map(spell, listing.addresses)))
+            self.observer.hear_list(update, list(map(spell, listing.addresses)), listing.why)
         self._deliver(update)
 
     def advise(self, event: Guidance | Lent) -> None:
@@ -428,7 +429,7 @@
         elif isinstance(action, FetchList):
             self.source.fetch()
         elif isinstance(action, WatchList):
-            self.source.watch(action.active)
+            self.source.watch(action)
         elif isinstance(action, Log):
             self.journal.line(action.text)
         elif isinstance(action, GuidanceRefused):
--- a/larkweir/planning/link.py
+++ b/larkweir/planning/link.py
@@ -32,7 +32,7 @@
 class Watcher(Protocol):
     def saw(self, event: Event, actions: Sequence[Decision]) -> None: ...
 
-    def hear_list(self, update: ListUpdate, addresses: Sequence[str]) -> None: ...
+    def hear_list(self, update: ListUpdate, addresses: Sequence[str], why: str = "") -> None: ...
 
 
 class Guided(Protocol):
@@ -53,7 +53,7 @@
     def __init__(self, observer: Observer) -> None:
         self.saw = observer.saw
 
-    def hear_list(self, update: ListUpdate, addresses: Sequence[str]) -> None:
+    def hear_list(self, update: ListUpdate, addresses: Sequence[str], why: str = "") -> None:
         """Of no interest."""
 
 
--- a/larkweir/planning/observer.py
+++ b/larkweir/planning/observer.py
@@ -254,7 +254,7 @@
         for told in self.audience:
             told.forget(server)
 
-    def hear_list(self, update: ListUpdate, addresses: Sequence[str]) -> None:
+    def hear_list(self, update: ListUpdate, addresses: Sequence[str], why: str = "") -> None:
         """A list that the balancer was given, with the addresses of its entries in their order."""
         if update.kind in (ListKind.FULL, ListKind.CACHED):
             named = {entry.server for entry in update.entries}
--- a/larkweir/service/pools.py
+++ b/larkweir/service/pools.py
@@ -132,7 +132,7 @@
         def source(tell: Callable[[Listing], None], log: Callable[[str], None]) -> Source:
             if spec.source is not None:
                 address = parse_address(spec.source.discovery, "discovery")
-                found = DiscoveryPlan(address, asked=spec.source.ask, seed=seed)
+                found = DiscoveryPlan(address)
                 return Discovery(found, tell, lambda text: log(f"pool {name}: {text}"), self.book.names)
             return StaticSource((), tell)
 
--- a/larkweir/single.py
+++ b/larkweir/single.py
@@ -15,7 +15,7 @@
 from larkweir.draining import LastCall
 from larkweir.engine import Decisions, Engine, PoolPlan
 from larkweir.listener import CallerConnection, Gone, Listener
-from larkweir.record import ENVIRONMENT, Recorder
+from larkweir.record import Recorder, asked_for
 from larkweir.requests import ALLOW, METHODS, Requests, refuse_known
 from larkweir.sources.discovery import Discovery, DiscoveryPlan, Listing
 
@@ -68,8 +68,6 @@
             config.discovery,
             config.zones,
             config.kinds,
-            settings.on_request_discovery,
-            config.seed,
             config.known,
         )
         made: list[Discovery] = []
@@ -80,8 +78,10 @@
 
         self.engine = Engine(plan, self.shared, source, decisions)
         self.discovery = made[0]
-        if os.environ.get(ENVIRONMENT) == "1":
-            self.engine.observe(Recorder(config.name, settings.tier, self.shared.clock.now_ms))
+        record = asked_for(os.environ)
+        if record is not None:
+            clock = self.shared.clock
+            self.engine.observe(Recorder(config.name, settings.tier, clock.now_ms, what=record))
         self.last_call = LastCall(self.shared.clock)
         front = PlatformFront(config, self.engine, self.shared, self.last_call)
         self.listener = Listener(config.listen, self.shared, front)
--- a/larkweir/sources/discovery.py
+++ b/larkweir/sources/discovery.py
@@ -5,14 +5,13 @@
 import asyncio
 import json
 from collections.abc import Callable
-from dataclasses import dataclass
-from random import Random
+from dataclasses import dataclass, replace
 from typing import Any, NamedTuple, cast
 
 from larkweir.core.address import Address, ConfigError, label_of, parse_address, spell
 from larkweir.core.message import Message
 from larkweir.http1 import ResponseReader, encode_request
-from mulleinhitch.interface import ListKind, ServerEntry, ServerState
+from mulleinhitch.interface import NONE_HELD, ListKind, ServerEntry, ServerState, WatchList
 
 MAX_LIST = 4 * 1024 * 1024
 STATES = {"active": ServerState.READY, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
@@ -24,8 +23,6 @@
     address: Address
     zones: tuple[str, ...] = ()
     kinds: tuple[str, ...] = ()
-    asked: bool = False  # lists come only when asked for; else they are pushed
-    seed: int = 0
     known: dict[str, Any] | None = None
 
 
@@ -35,12 +32,16 @@
 
 @dataclass(slots=True, frozen=True)
 class Listing:
-    """One answer: the entries and where they listen, place for place."""
+    """One answer: the entries and where they listen, place for place. `call` is the number of the call that
+    it ends, 0 of none of the watch; `why` that call failed.
+    """
 
     kind: ListKind
     version: int
     entries: tuple[ServerEntry, ...]
     addresses: tuple[Address, ...]
+    call: int = 0
+    why: str = ""
 
 
 class Names:
@@ -87,6 +88,8 @@
     if not isinstance(data, dict):
         raise DiscoveryError("the answer is not an object")
     version = _field(data, "generation", int)
+    if version < 0:
+        raise DiscoveryError(f"generation: {version} is less than 0")
     whole = data.get("reset")
     if not isinstance(whole, bool):
         raise DiscoveryError(f"reset: {whole!r:.100} is neither true nor false")
@@ -180,22 +183,14 @@
 
 
 class Discovery:
-    """Keeps the list fresh. Where lists are pushed it watches from the start; where discovery must be asked
-    it does what the decisions ask for, and tells them when that fails.
+    """Carries out calls to discovery, one watch at a time, and tells how each ended. When to call, and how
+    long to wait, is the decisions' (`mulleinhitch.freshness`).
     """
 
-    WAIT_S = 20.0
-    PUSHED_WAIT_S = 4.0  # asking costs nothing there, and a connection that has died shows sooner
-    # Past the wait, for the answer to come. What a silent watch misses counts as told 2 s past it: the rest
-    # of that is left for a new call, which waits its turn.
-    GRACE_S = 0.5
-    # For a call that need not wait: longer than discovery, which takes calls in turn, keeps one (3 s).
-    # Guards against losing the turn and asking anew, again and again, while discovery is busy.
-    CALL_S = 3.5
+    # For a whole list that is fetched beside the watch: longer than discovery, which takes calls in turn, is
+    # known to keep one (3 s). Guards against losing the turn and asking anew while discovery is busy.
+    FETCH_S = 3.5
     CONNECT_S = 1.0  # a connection is up at once or not at all: it does not wait its turn as a call does
-    PACE_S = 0.025  # at least from call to call; well under what ends a watch
-    FIRST_PAUSE_S = 0.05
-    LONGEST_PAUSE_S = 1.0
 
     def __init__(
         self,
@@ -207,12 +202,10 @@
         self._address = plan.address
         self._host = f"{plan.address[0]}:{plan.address[1]}".encode()
         self._names = names or Names(plan.zones, plan.kinds)
-        self._asked = plan.asked
         self._known = plan.known
         self._tell = tell
         self._log = log
-        self._rng = Random(plan.seed)
-        self._version: int | None = None
+        self._version = NONE_HELD
         self._told = 0  # answers that have counted
         self._connection: _Connection | None = None
         self._watch: asyncio.Task[None] | None = None
@@ -220,8 +213,8 @@
         self._stopped = False
 
     def start(self) -> None:
-        """Tell what is known from before, and begin to watch."""
-        listing = Listing(ListKind.CACHED, 0, (), ())
+        """Tell what is known from before."""
+        listing = Listing(ListKind.CACHED, NONE_HELD, (), ())
         if self._known:
             try:
                 known = parse_listing(self._known, self._names)
@@ -230,23 +223,19 @@
             except DiscoveryError as problem:
                 self._log(f"known: {problem}")
         self._tell(listing)
-        if not self._asked:
-            self._watch = asyncio.get_running_loop().create_task(self._follow())
-
-    def watch(self, active: bool) -> None:
-        """The decisions subscribe, or give that up."""
-        if not self._asked:
-            return  # pushed: the watch is always on
-        if self._watch is not None:
+
+    def watch(self, order: WatchList) -> None:
+        """Make a call of the watch. One that is out ends, with its connection: an answer owed to it is none
+        to the next.
+        """
+        if self._watch is not None and not self._watch.done():
             self._watch.cancel()
-            self._watch = None
-            # With what it may still bring: an answer owed to the old call is none to the next.
             self._drop()
-        if active:
-            self._watch = asyncio.get_running_loop().create_task(self._follow())
+        if order.active and not self._stopped:
+            self._watch = asyncio.get_running_loop().create_task(self._ask(order))
 
     def fetch(self) -> None:
-        """The decisions ask for the whole list once; a call that is out already serves."""
+        """The whole list is asked for once, beside the watch; a call for it that is out already serves."""
         if self._fetch is None or self._fetch.done():
             self._fetch = asyncio.get_running_loop().create_task(self._fetch_once())
 
@@ -262,16 +251,13 @@
             return
         self._address = address
         self._host = f"{address[0]}:{address[1]}".encode()
-        self._version = None  # the old agent's; what the new one calls newer is not measured against it
+        self._version = NONE_HELD  # the old agent's; what the new one calls newer is not measured against it
         for task in (self._watch, self._fetch):
             if task is not None:
                 task.cancel()
         self._watch = self._fetch = None
         self._drop()
-        if self._asked:  # when to ask is theirs to decide
-            self._tell(Listing(ListKind.MOVED, 0, (), ()))
-        else:
-            self._watch = asyncio.get_running_loop().create_task(self._follow())
+        self._tell(Listing(ListKind.MOVED, NONE_HELD, (), ()))
 
     def stop(self) -> None:
         self._stopped = True
@@ -281,75 +267,67 @@
         if self._connection is not None:
             self._connection.close()
 
-    async def _follow(self) -> None:
-        pause = self.FIRST_PAUSE_S
-        while True:
-            try:
-                await self._round()
-                pause = self.FIRST_PAUSE_S
-                # Guards the core against answers that come at once, again and again.
-                await asyncio.sleep(self.PACE_S)
-            except (DiscoveryError, OSError) as problem:  # a time-out is an OSError
-                self._drop()
-                self._log(f"discovery: {str(problem) or type(problem).__name__}")
-                if self._asked:  # when to ask again is theirs to decide
-                    self._tell(Listing(ListKind.FAILED, self._version or 0, (), ()))
-                    return
-                await asyncio.sleep(pause * (0.5 + self._rng.random()))
-                pause = min(self.LONGEST_PAUSE_S, 2.0 * pause)
-
-    async def _round(self) -> None:
-        """One call: of the watch, or for the whole list where the watch can't go on from what is held."""
+    async def _ask(self, order: WatchList) -> None:
+        """One call of the watch, and how it ended."""
         told = self._told
-        if self._version is None:
-            listing = await self._call(b"/v1/endpoints", self.CALL_S)
-            if listing.kind is not ListKind.FULL:
-                raise DiscoveryError("the whole list was asked for and changes came")
+        try:
+            listing = await self._call(order)
+            if listing.kind is ListKind.DELTA and listing.version < order.after:
+                self._version = NONE_HELD  # guards the list against changes to another than the one held
+                raise DiscoveryError(f"changes since {order.after} came with version {listing.version}")
+        except (DiscoveryError, OSError) as problem:
+            self._drop()
+            self._fail(problem, order.call, order.patience_ms / 1000.0)
         else:
-            after = self._version
-            wait = self.WAIT_S if self._asked else self.PUSHED_WAIT_S
-            target = b"/v1/endpoints?after=%d&wait_ms=%d" % (after, wait * 1000)
-            listing = await self._call(target, wait + self.GRACE_S)
-            if listing.kind is ListKind.DELTA and listing.version < after:
-                self._version = None  # these are changes to another list than the one held
-                return
-        self._count(listing, told)
-
-    def _count(self, listing: Listing, told: int) -> None:
+            self._count(listing, told, order.call)
+
+    async def _call(self, order: WatchList) -> Listing:
+        whole = order.after == NONE_HELD
+        target = b"/v1/endpoints"
+        if not whole:
+            target += b"?after=%d&wait_ms=%d" % (order.after, order.wait_ms)
+        async with asyncio.timeout(order.patience_ms / 1000.0):
+            if self._connection is None or not self._connection.open:
+                self._connection = _Connection()
+                await self._connect(self._connection)
+            listing = self._read(await self._connection.get(target, self._host))
+        if whole and listing.kind is not ListKind.FULL:
+            raise DiscoveryError("the whole list was asked for and changes came")
+        return listing
+
+    def _fail(self, problem: Exception, call: int, patience_s: float) -> None:
+        why = str(problem) or type(problem).__name__
+        if isinstance(problem, TimeoutError):
+            why = f"no answer in {patience_s:.1f} s"
+        self._log(f"discovery: {why}")
+        self._tell(Listing(ListKind.FAILED, self._version, (), (), call, why))
+
+    def _count(self, listing: Listing, told: int, call: int) -> None:
         """Take an answer over, unless something newer was told after its call began (`told` as of then). An
         older version with nothing told in between is discovery counting anew.
         """
-        held = self._version
-        if told != self._told and held is not None and listing.version < held:
-            listing = Listing(ListKind.DELTA, held, (), ())  # its call is answered, and nothing changes
+        if told != self._told and listing.version < self._version:
+            listing = Listing(ListKind.DELTA, self._version, (), ())  # its call is answered, nothing changes
         else:
             self._told += 1
         self._version = listing.version
-        self._tell(listing)
+        self._tell(replace(listing, call=call))
 
     async def _fetch_once(self) -> None:
         connection = _Connection()
         told = self._told
         try:
-            async with asyncio.timeout(self.CALL_S):
+            async with asyncio.timeout(self.FETCH_S):
                 await self._connect(connection)
                 listing = self._read(await connection.get(b"/v1/endpoints", self._host))
             if listing.kind is not ListKind.FULL:
                 raise DiscoveryError("the whole list was asked for and changes came")
-            self._count(listing, told)
+            self._count(listing, told, 0)
         except (DiscoveryError, OSError) as problem:
-            self._log(f"discovery: {str(problem) or type(problem).__name__}")
-            self._tell(Listing(ListKind.FAILED, self._version or 0, (), ()))
+            self._fail(problem, 0, self.FETCH_S)
         finally:
             connection.close()
 
-    async def _call(self, target: bytes, timeout_s: float) -> Listing:
-        async with asyncio.timeout(timeout_s):
-            if self._connection is None or not self._connection.open:
-                self._connection = _Connection()
-                await self._connect(self._connection)
-            return self._read(await self._connection.get(target, self._host))
-
     async def _connect(self, connection: _Connection) -> None:
         async with asyncio.timeout(self.CONNECT_S):
             await asyncio.get_running_loop().create_connection(lambda: connection, *self._address)
--- a/larkweir/sources/static.py
+++ b/larkweir/sources/static.py
@@ -7,7 +7,7 @@
 
 from larkweir.core.address import Address, label_of, spell
 from larkweir.sources.discovery import Listing
-from mulleinhitch.interface import ListKind, ServerEntry, ServerState
+from mulleinhitch.interface import ListKind, ServerEntry, ServerState, WatchList
 
 
 @dataclass(slots=True, frozen=True)
@@ -45,5 +45,5 @@
     def fetch(self) -> None:
         self.retell()
 
-    def watch(self, active: bool) -> None:
+    def watch(self, order: WatchList) -> None:
         """It never changes."""
--- a/larkweir/tally.py
+++ b/larkweir/tally.py
@@ -42,6 +42,7 @@
     "failed",
     "copies",  # that wrote a line in this second
     "cpu_ms",
+    "oldest_ms",  # the highest age of a list that a call was sent by
 )
 OUTCOMES = {Outcome.OK: "ok", Outcome.FULL: "full", Outcome.CONNECT_FAILED: "connect", Outcome.RESET: "reset"}
 OUTCOMES |= {Outcome.TIMEOUT: "timeout", Outcome.ERROR: "error"}
@@ -91,6 +92,10 @@
             kind = str(record["kind"])
             count["full_list" if kind == "full" else kind] += 1
             self._learn(copy, record)
+        elif what == "Sends":
+            for number, times in record["sent"].items():
+                self._send(self._names[copy].get(int(number), ""), record["t"], count, times)
+            self._oldest(record["age_ms"], count)
         for action in record.get("out", ()):
             self._act(action, copy, record["t"], count)
 
@@ -107,13 +112,21 @@
         if action[0] != "send":
             count[str(action[0])] += 1
             return
-        count["sent"] += 1
         self._tried[copy, action[1]] += 1
         count["repeat"] += self._tried[copy, action[1]] > 1
-        address = self._names[copy].get(action[2], "")
-        count["gone"] += address in self._left
+        self._send(self._names[copy].get(action[2], ""), at, count)
+        if len(action) > 4:
+            self._oldest(action[4], count)
+
+    def _send(self, address: str, at: float, count: Counter[str], times: int = 1) -> None:
+        count["sent"] += times
+        count["gone"] += times * (address in self._left)
         started = self._started.get(address, 0.0)
-        count["cold"] += bool(started) and at - started < self._cold_s
+        count["cold"] += times * (bool(started) and at - started < self._cold_s)
+
+    @staticmethod
+    def _oldest(age_ms: float, count: Counter[str]) -> None:
+        count["oldest_ms"] = max(count["oldest_ms"], round(age_ms))
 
 
 def tally(logs: Iterable[Iterable[str]], cold_s: float = COLD_S) -> dict[int, Fleet]:
--- a/mulleinhitch/freshness.py
+++ b/mulleinhitch/freshness.py
@@ -1,21 +1,61 @@
-"""When the list of servers is asked for, where it comes only to those that ask.
+"""How old the held list may be, and every call to discovery that keeps it younger: when to call, what for,
+how long discovery may keep the call, and when to give it up.
 
-Nothing here does input or output, reads a clock or keeps state outside its objects. It decides of list calls
-alone, never of requests.
+`Freshness` owns the one bound. A list is current as of its last whole answer; the next whole answer is due
+`told_ms` later, when whatever discovery has counts as told. A watch waits for a third of that bound at most,
+so that its silence shows early; the rest is for the calls behind it, which take their turn at discovery.
+Nothing but a whole answer moves the bound: no failure, pause, refusal or malformed answer does.
+
+A call is one of three, each told by `WatchList`:
+
+    WHOLE   the whole list, where no version is held
+    OPEN    changes since the version held, without a wait: takes its turn, and opens a watch
+    RENEW   the same with a wait: goes on with that watch, takes no turn, and must follow at once
+
+    state     event                      next       what is done
+    --------  -------------------------  ---------  --------------------------------------------------------
+    OFF       the list at the start      PLANNED    WHOLE or OPEN, spread over the copies that may start too
+    PLANNED   its time has come          OUT        the call is made; one that is out ends
+    OUT       answered: WHOLE            PLANNED    OPEN, after PACE_MS; the next answer is due anew
+    OUT       answered: OPEN, RENEW      PLANNED    RENEW, after PACE_MS; the next answer is due anew
+    OUT       failed, refused, given up  PLANNED    WHOLE or OPEN: the first spread out, then after pauses
+    any       moved                      PLANNED    WHOLE, spread out; its answer is due in MOVED_MS
+    any       an answer of another call  as it was  the version held is that answer's
+
+A standing subscription (the simulator's wire) needs no renewals: OPEN answered leads to SUBSCRIBED, from
+where a failure leads to PLANNED as above, and so does a listed server that turns calls away (`doubt`): a
+silent subscription shows by nothing else.
+
+Does no input or output and reads no clock. Sources: the protocol's figures for lists (6 s, 200 ms from an
+answer to the next call, 4 s after a change of address), and the settings.
 """
 
 from __future__ import annotations
 
 import math
+from enum import Enum
 from random import Random
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
-from mulleinhitch.interface import Action, ListKind, ServerState, SetTimer, Settings, WatchList
+from mulleinhitch.interface import (
+    NONE_HELD,
+    Action,
+    ListKind,
+    ListUpdate,
+    ServerState,
+    SetTimer,
+    Settings,
+    WatchList,
+)
 
 LIST_COOKIE = 1 << 40  # above every request id
 DOUBT_COOKIE = LIST_COOKIE + 1
 COOKIES = (LIST_COOKIE, DOUBT_COOKIE)
 
+TOLD_MS = 6_000.0  # whatever discovery has counts as told so long after
+MOVED_MS = 4_000.0  # the same after its address has changed
+LEAST_MS = 1_000.0  # guards discovery against settings by which a list would be old at once
+
 
 class Doubted(Protocol):
     """A listed server, as far as the list's age is judged by it. `strikes`: failures since it last served."""
@@ -24,80 +64,144 @@
     strikes: int
 
 
-class Asking:
-    """One copy's calls to discovery. Discovery has a fixed capacity for all copies together: guards against
-    copies that ask in step, at their start or after a failure, and against asking in vain again and again.
+class State(Enum):
+    OFF = "off"
+    PLANNED = "planned"
+    OUT = "out"
+    SUBSCRIBED = "subscribed"
+
+
+class Call(Enum):
+    WHOLE = "whole"
+    OPEN = "open"
+    RENEW = "renew"
+
 
-    Each method returns the actions that it calls for.
+class Pace(NamedTuple):
+    """How calls are spread and how far pauses grow, ms."""
+
+    spread_ms: float  # for each copy that may call in the same moment
+    first_ms: float  # the longest pause before the second call in a row that follows a failure
+    longest_ms: float
+
+
+class Freshness:
+    """One copy's list. Each method returns the actions that it calls for.
+
+    Discovery has one capacity for all copies: guards against copies that call in step at their start or
+    after a failure, against turns that are given up and taken anew, and against calling in vain without end.
     """
 
     SPREAD_MS = 250.0  # for each copy: about as long as a call takes discovery
-    # After the first failure where no list has come yet: copies that start together would ask in step.
-    FIRST_MS = 2_000.0
-    # After the second in a row where one had. What a silent watch misses counts as told 2 s after its wait,
-    # and the silence shows half a second after it: both calls fit in what is left, and in the grace.
-    BACKOFF_MS = 500.0
+    # Past a renewal's wait, for the answer to come: it takes no turn, and a copy may read late on a part of a
+    # core.
+    SEEN_MS = 500.0
+    PACE_MS = (
+        25.0  # from an answer to the next call: well under the 200 ms that end a watch, and no busy loop
+    )
     DOUBT_MS = 2_000.0  # about as long as news of a server take to come by the list
 
     def __init__(self, settings: Settings, rng: Random) -> None:
-        self._settings = settings
         self._rng = rng
-        self._booted = False
-        self._backoff_ms = self.FIRST_MS  # 0: a list has come since the last failure
-        self._at = math.inf  # when the list is to be asked for: one plan at a time
-        self._old = False  # the cached list is all there is so far
+        self._copies = settings.copies
+        self._half_tick_ms = settings.tick_ms / 2.0
+        self._ask_within_ms = settings.ask_within_ms
+        self._renewed = settings.watch_renewed
+        self._asked = settings.on_request_discovery
+        # A copy that neither watches nor asks is told of all that is older than the settings' time for it.
+        self.told_ms = min(TOLD_MS, max(LEAST_MS, settings.ask_within_ms)) if self._asked else TOLD_MS
+        third = self.told_ms / 3.0
+        if self._asked:
+            self._pace = Pace(self.SPREAD_MS, self.told_ms / 8.0, third)
+        else:
+            # Pushed lists come from the copy's own agent, whose word counts at once when it is back: nobody
+            # else waits there, and a pause must fit into the shortest grace.
+            self._pace = Pace(0.0, 50.0, 500.0)
+        self._longest_wait_ms = third
+        # Of a call that takes its turn: one given up loses it, so that it may take half of the bound.
+        self._patience_ms = self.told_ms / 2.0 + self.SEEN_MS
+        self.state = State.OFF
+        self._call = Call.OPEN  # the one planned or out
+        self._number = 0  # of the call made last
+        self._held = NONE_HELD
+        self._due_ms = math.inf  # when the next whole answer is due: the bound
+        self._at = math.inf  # when the call planned is to be made
+        # The next pause; 0: the first call after a list, or to the own agent, has not failed yet. Copies that
+        # start together and have had no list would go on in step.
+        self._pause_ms = self._pace.longest_ms if self._asked else 0.0
+        self._old = False  # the cached list is all there is so far, and no call was made
         self._doubted: Doubted | None = None  # listed as ready, but turns calls away
         self._doubt_ms = 0.0  # from the last call for that reason to the next; 0: there was none
         self._doubt_at = 0.0
 
-    def heard(self, kind: ListKind, now_ms: float) -> list[Action]:
-        """A list event has come: subscribe once, spread out, and ask again after a failure."""
-        if not self._settings.on_request_discovery:
+    def left_ms(self, now_ms: float) -> float:
+        """Until the next whole answer is due; less than 0 once the bound has passed."""
+        return self._due_ms - now_ms
+
+    # ------------------------------------------------ events
+
+    def heard(self, update: ListUpdate, now_ms: float) -> list[Action]:
+        """A list event has come."""
+        if not (self._asked or self._renewed):
             return []
-        plan: list[Action] = []
-        if kind is ListKind.FAILED:
-            if self._at == math.inf:
-                plan = self._in(self._pause(), now_ms)
-        elif not self._booted:
-            # The cached list serves at first. Spread by how many copies may start together; a quarter of the
-            # duty's interval leaves time for calls that fail.
-            spread = min(self.SPREAD_MS * self._settings.copies, self._settings.ask_within_ms / 4.0)
-            plan = self._in(self._rng.random() * spread, now_ms)
-            self._old = True
-        elif kind is ListKind.MOVED:
-            # What was planned is void with the old address; what the new one has counts as told soon.
-            self._backoff_ms = self._doubt_ms = 0.0
-            plan = self._ask()
-        elif kind is not ListKind.CACHED:
-            self._backoff_ms = self._doubt_ms = 0.0
-        self._booted = True
-        return plan
-
-    def _pause(self) -> float:
-        """From a failure to the next call. The first in a row after a list is a watch that broke or fell
-        silent: all that came since is unknown, so it is opened anew at once.
-        """
-        if not self._backoff_ms:
-            self._backoff_ms = self.BACKOFF_MS
-            return self._rng.random() * self.SPREAD_MS
-        pause = self._backoff_ms * (0.5 + self._rng.random())
-        self._backoff_ms = min(self._settings.ask_within_ms, 2.0 * self._backoff_ms)
-        return pause
+        if update.kind is ListKind.MOVED:
+            return self._moved(now_ms)
+        if self.state is State.OFF:
+            return self._begin(update, now_ms)
+        if update.kind is ListKind.FAILED:
+            return self._failed(update, now_ms)
+        return self._answered(update, now_ms)
+
+    def _begin(self, update: ListUpdate, now_ms: float) -> list[Action]:
+        """The list held at the start serves at first. Copies may start together, by their number."""
+        self._held = update.version
+        self._due_ms = now_ms + self.told_ms
+        self._old = True
+        return self._plan(self._again(), self._spread(now_ms), now_ms)
+
+    def _moved(self, now_ms: float) -> list[Action]:
+        """What was planned is void with the old address, and its versions with it."""
+        self._held = NONE_HELD
+        self._due_ms = min(self._due_ms, now_ms + MOVED_MS)
+        self._pause_ms = self._doubt_ms = 0.0
+        return self._plan(Call.WHOLE, self._spread(now_ms), now_ms)
+
+    def _answered(self, update: ListUpdate, now_ms: float) -> list[Action]:
+        self._held = update.version
+        if self._renewed and not self._answers(update):
+            return []  # of a call that was made elsewhere; the one out stays out
+        self._due_ms = now_ms + self.told_ms
+        self._pause_ms = self._doubt_ms = 0.0
+        if not self._renewed:
+            self.state = State.SUBSCRIBED
+            return []
+        return self._plan(Call.OPEN if self._call is Call.WHOLE else Call.RENEW, self.PACE_MS, now_ms)
+
+    def _failed(self, update: ListUpdate, now_ms: float) -> list[Action]:
+        if self.state is State.PLANNED or (self._renewed and not self._answers(update)):
+            return []
+        if self.state is State.SUBSCRIBED:
+            self._due_ms = now_ms + self.told_ms  # it held until it broke
+        self._held = update.version
+        return self._plan(self._again(), self._pause(now_ms), now_ms)
+
+    def _answers(self, update: ListUpdate) -> bool:
+        return self.state is State.OUT and update.call == self._number
 
     def doubt(self, server: Doubted, now_ms: float) -> list[Action]:
         """A listed server turned a call away unseen: it may be leaving or gone, and the list old.
 
-        Guards against a subscription that has fallen silent, which nobody else tells of, while the servers on
-        the list go and those that come stay unknown. What is on its way comes first: the list is asked for
-        only if the server is still on it after a while, and has served nothing since.
+        Guards against a standing subscription that has fallen silent, which nobody else tells of, while the
+        servers on the list go and those that come stay unknown. What is on its way comes first: the list is
+        asked for only if the server is still on it after a while, and has served nothing since.
         """
-        if not self._settings.on_request_discovery:
+        if not self._asked:
             return []
-        if self._old:
+        if self._old and self.state is State.PLANNED:
             # The cached list shows to be old. Not at once: copies that start together would all ask together.
-            return self._in(max(0.0, self._at - now_ms) / 2.0, now_ms)
-        if self._doubted is not None or now_ms < self._doubt_at:
-            return []
+            return self._plan(self._call, max(0.0, self._at - now_ms) / 2.0, now_ms)
+        if self._renewed or self._doubted is not None or now_ms < self._doubt_at:
+            return []  # a renewed watch tells of its own silence, sooner than that
         self._doubted = server
         return [SetTimer(DOUBT_COOKIE, self.DOUBT_MS * (0.5 + self._rng.random()))]
 
@@ -106,23 +210,56 @@
         if cookie == DOUBT_COOKIE:
             return self._settle(now_ms)
         # Half a tick: a caller's clock may round below what was asked for. Timers of older plans are ignored.
-        return self._ask() if now_ms + self._settings.tick_ms / 2.0 >= self._at else []
+        if self.state is not State.PLANNED or now_ms + self._half_tick_ms < self._at:
+            return []
+        return self._make()
 
     def _settle(self, now_ms: float) -> list[Action]:
         server, self._doubted = self._doubted, None
         if server is None or server.state is not ServerState.READY or not server.strikes:
             return []
-        if self._at < math.inf:
+        if self.state is State.PLANNED:
             return []  # it is going to be asked for anyway
         # Each call that brought nothing new doubles the time to the next: it may not be the list at all.
-        self._doubt_ms = min(4.0 * self._settings.ask_within_ms, 2.0 * (self._doubt_ms or self.DOUBT_MS))
+        self._doubt_ms = min(4.0 * self._ask_within_ms, 2.0 * (self._doubt_ms or self.DOUBT_MS))
         self._doubt_at = now_ms + self._doubt_ms * (0.5 + self._rng.random())
-        return self._ask()
+        self._call = Call.OPEN
+        return self._make()
+
+    # ------------------------------------------------ calls
+
+    def _again(self) -> Call:
+        """What a call is for where no watch goes on."""
+        return Call.WHOLE if self._held == NONE_HELD and self._renewed else Call.OPEN
+
+    def _spread(self, now_ms: float) -> float:
+        """Until a call that other copies may make for the same reason in the same moment."""
+        left = max(0.0, self._due_ms - now_ms)
+        return self._rng.random() * min(self._pace.spread_ms * self._copies, left / 4.0)
+
+    def _pause(self, now_ms: float) -> float:
+        """From a failure to the next call. The first in a row after a list is a watch that broke or fell
+        silent: all that came since is unknown.
+        """
+        if not self._pause_ms:
+            self._pause_ms = self._pace.first_ms
+            return self._spread(now_ms)
+        pause = self._pause_ms * (0.5 + 0.5 * self._rng.random())
+        self._pause_ms = min(self._pace.longest_ms, 2.0 * self._pause_ms)
+        return pause
 
-    def _in(self, delay_ms: float, now_ms: float) -> list[Action]:
+    def _plan(self, call: Call, delay_ms: float, now_ms: float) -> list[Action]:
+        self.state, self._call = State.PLANNED, call
         self._at = now_ms + delay_ms
         return [SetTimer(LIST_COOKIE, delay_ms)]
 
-    def _ask(self) -> list[Action]:
-        self._old, self._at = False, math.inf
-        return [WatchList(True)]
+    def _make(self) -> list[Action]:
+        self.state, self._old, self._at = State.OUT, False, math.inf
+        if not self._renewed:
+            return [WatchList(True)]
+        self._number += 1
+        if self._call is not Call.RENEW:
+            return [WatchList(True, self._number, self._held, 0.0, self._patience_ms)]
+        # Drawn anew each time: watches that broke together are not renewed in step, nor found silent in step.
+        wait_ms = self._longest_wait_ms * (0.5 + 0.5 * self._rng.random())
+        return [WatchList(True, self._number, self._held, wait_ms, wait_ms + self.SEEN_MS)]
--- a/mulleinhitch/interface.py
+++ b/mulleinhitch/interface.py
@@ -138,6 +138,7 @@
     tiers: int = 1
     tick_ms: float = 1.0
     on_request_discovery: bool = False
+    watch_renewed: bool = False  # a watch ends with each of its answers and has to be renewed; else it stands
     ask_within_ms: float = 10_000.0
     answer_slack_ms: float = 5.0
     cold_share: float = 0.1
@@ -212,11 +213,19 @@
     label: int = 0  # the same for this server in every copy; only where copies share a ramp
 
 
+NONE_HELD = -1  # in place of a list's version: there is none
+
+
 @dataclass(slots=True)
 class ListUpdate:
+    """What discovery tells. `call` is the number of the `WatchList` that it answers, 0 of none; `version` is
+    that of the list held from here on.
+    """
+
     kind: ListKind
     version: int = 0
     entries: Sequence[ServerEntry] = ()
+    call: int = 0
 
 
 @dataclass(slots=True)
@@ -409,7 +418,16 @@
 
 @dataclass(slots=True)
 class WatchList:
+    """Ask for changes since version `after` (`NONE_HELD`: for the whole list), or stop asking. Discovery may
+    keep the call for `wait_ms`; it is given up, and counts as failed, after `patience_ms`. A call that is
+    still out ends, with its connection. Without a number it is a standing subscription.
+    """
+
     active: bool = field(default=True)
+    call: int = 0
+    after: int = NONE_HELD
+    wait_ms: float = 0.0
+    patience_ms: float = 0.0
 
 
 @dataclass(slots=True)
--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -17,7 +17,7 @@
 from random import Random
 
 from mulleinhitch.advice import Guide, SharedRamp, Warming
-from mulleinhitch.asking import COOKIES, Asking
+from mulleinhitch.freshness import COOKIES, Freshness
 from mulleinhitch.interface import (
     NEVER_RAN,
     UNTELLING,
@@ -603,7 +603,7 @@
         self.guide = Guide(settings, self.rng)
         self.slow_start: SlowStart | SharedRamp = self.guide.ramp or SlowStart(settings, self.rng)
         self.links = Links(settings)
-        self.asking = Asking(settings, self.rng)
+        self.freshness = Freshness(settings, self.rng)
         self.requests: dict[int, Request] = {}
         self.held: dict[int, Request] = {}
         self.now = -1.0
@@ -899,7 +899,7 @@
         elif event.outcome not in UNTELLING:
             self._judge(server, request, event.outcome, True)
             if event.outcome in NEVER_RAN:
-                self.out.extend(self.asking.doubt(server, self.now))
+                self.out.extend(self.freshness.doubt(server, self.now))
         self.fleet.earn_token(server, self.now)
         if event.final or event.outcome is Outcome.OK:
             request.started = True
@@ -1238,7 +1238,7 @@
 
     def _on_timer(self, event: TimerFired) -> None:
         if event.cookie in COOKIES:
-            self.out.extend(self.asking.fired(event.cookie, self.now))
+            self.out.extend(self.freshness.fired(event.cookie, self.now))
             return
         request = self.requests.get(event.cookie)
         if request is None or request.started or request.wake_ms < 0.0:
@@ -1266,7 +1266,7 @@
                 self._window = max(self.FIRST_WINDOW, self._bearable)
             for server in fresh:
                 self.fleet.earn_token(server, self.now)
-        self.out.extend(self.asking.heard(event.kind, self.now))
+        self.out.extend(self.freshness.heard(event, self.now))
 
     def _on_client_gone(self, event: ClientGone) -> None:
         request = self.requests.get(event.request)
--- a/standins/discovery.py
+++ b/standins/discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from contextlib import suppress
 from typing import Any
 
 from standins.wire import ok, read_head
@@ -71,8 +72,10 @@
                     if self.silent:
                         await asyncio.Event().wait()
                     after = int(target.partition("after=")[2].partition("&")[0])
-                    while self.generation == after:
-                        await self._changed.wait()
+                    with suppress(TimeoutError):
+                        async with asyncio.timeout(int(target.partition("wait_ms=")[2]) / 1000.0):
+                            while self.generation == after:
+                                await self._changed.wait()
                     rows = [item for at, item in self.changes if at > after]
                     data: dict[str, Any] = {"generation": self.generation, "reset": False, "instances": rows}
                 else:
