--- /dev/null
+++ b/tests/crossings/skipping.py
@@ -0,0 +1,62 @@
+"""An event loop whose clock skips what nobody waits through: real connections, hours in seconds.
+
+While bytes move, time stands as the system has it; once nothing comes and only a timer is left, the clock
+jumps to that timer. The program's own clock reads the same time.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import selectors
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import pytest
+
+from larkweir.core import clock
+
+QUIET_S = 0.004  # in which bytes on loopback between two sockets of this process have long arrived
+
+
+class _SkippingSelector(selectors.DefaultSelector):
+    """Waits for a moment only, and then skips the rest of the wait."""
+
+    skipped_s = 0.0
+
+    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
+        if timeout is None or timeout <= QUIET_S:
+            return super().select(timeout)
+        ready = super().select(QUIET_S)
+        if not ready:
+            self.skipped_s += timeout - QUIET_S
+        return ready
+
+
+class SkippingLoop(asyncio.SelectorEventLoop):
+    def __init__(self) -> None:
+        self._skipping = _SkippingSelector()
+        super().__init__(self._skipping)
+
+    def time(self) -> float:
+        return time.monotonic() + self._skipping.skipped_s
+
+
+def run(monkeypatch: pytest.MonkeyPatch, work: Callable[[SkippingLoop], Coroutine[Any, Any, None]]) -> None:
+    """Run a test under the skipping clock; the program's clock is the same."""
+    loop = SkippingLoop()
+
+    class Times:
+        time = staticmethod(time.time)
+        monotonic = staticmethod(loop.time)
+
+    monkeypatch.setattr(clock, "time", Times)
+    try:
+        loop.run_until_complete(work(loop))
+    finally:
+        left = asyncio.all_tasks(loop)  # of stand-ins that a fault keeps waiting
+        for task in left:
+            task.cancel()
+        loop.run_until_complete(asyncio.gather(*left, return_exceptions=True))
+        loop.run_until_complete(loop.shutdown_asyncgens())
+        loop.close()
