--- a/mulleinhitch/freshness.py
+++ b/mulleinhitch/freshness.py
@@ -18,7 +18,8 @@
     PLANNED   its time has come          OUT        the call is made; one that is out ends
     OUT       answered: WHOLE            PLANNED    OPEN, after PACE_MS; the next answer is due anew
     OUT       answered: OPEN, RENEW      PLANNED    RENEW, after PACE_MS; the next answer is due anew
-    OUT       failed, refused, given up  PLANNED    WHOLE or OPEN: the first spread out, then after pauses
+    OUT       failed, refused, given up  PLANNED    WHOLE or OPEN: the first spread out, then by pauses that
+                                                    count from the begin of the call that failed
     any       moved                      PLANNED    WHOLE, spread out; its answer is due in MOVED_MS
     any       an answer of another call  as it was  the version held is that answer's
 
@@ -81,8 +82,9 @@
     """How calls are spread and how far pauses grow, ms."""
 
     spread_ms: float  # for each copy that may call in the same moment
-    first_ms: float  # the longest pause before the second call in a row that follows a failure
-    longest_ms: float
+    first_ms: float  # the longest pause before the second call in a row that follows a failure, and before
+    # further ones until the bound has passed
+    longest_ms: float  # to which it grows from then on
 
 
 class Freshness:
@@ -126,6 +128,7 @@
         self._held = NONE_HELD
         self._due_ms = math.inf  # when the next whole answer is due: the bound
         self._at = math.inf  # when the call planned is to be made
+        self._begun_ms = 0.0  # when the last one was
         # The next pause; 0: the first call after a list, or to the own agent, has not failed yet. Copies that
         # start together and have had no list would go on in step.
         self._pause_ms = self._pace.longest_ms if self._asked else 0.0
@@ -175,6 +178,8 @@
         if not self._renewed:
             self.state = State.SUBSCRIBED
             return []
+        # Without a pause behind a whole list too: put off, the watches would crowd out copies that still wait
+        # for theirs (simulated: the last one has it 2 s later).
         return self._plan(Call.OPEN if self._call is Call.WHOLE else Call.RENEW, self.PACE_MS, now_ms)
 
     def _failed(self, update: ListUpdate, now_ms: float) -> list[Action]:
@@ -212,7 +217,7 @@
         # Half a tick: a caller's clock may round below what was asked for. Timers of older plans are ignored.
         if self.state is not State.PLANNED or now_ms + self._half_tick_ms < self._at:
             return []
-        return self._make()
+        return self._make(now_ms)
 
     def _settle(self, now_ms: float) -> list[Action]:
         server, self._doubted = self._doubted, None
@@ -224,7 +229,7 @@
         self._doubt_ms = min(4.0 * self._ask_within_ms, 2.0 * (self._doubt_ms or self.DOUBT_MS))
         self._doubt_at = now_ms + self._doubt_ms * (0.5 + self._rng.random())
         self._call = Call.OPEN
-        return self._make()
+        return self._make(now_ms)
 
     # ------------------------------------------------ calls
 
@@ -239,22 +244,26 @@
 
     def _pause(self, now_ms: float) -> float:
         """From a failure to the next call. The first in a row after a list is a watch that broke or fell
-        silent: all that came since is unknown.
+        silent: all that came since is unknown. Later ones keep calls apart, from begin to begin: one that was
+        out until it was given up has spent that time already.
         """
         if not self._pause_ms:
             self._pause_ms = self._pace.first_ms
             return self._spread(now_ms)
         pause = self._pause_ms * (0.5 + 0.5 * self._rng.random())
-        self._pause_ms = min(self._pace.longest_ms, 2.0 * self._pause_ms)
-        return pause
+        if (
+            now_ms >= self._due_ms
+        ):  # until then it may still be met: guards the last of a fleet, refused often
+            self._pause_ms = min(self._pace.longest_ms, 2.0 * self._pause_ms)
+        return max(0.0, self._begun_ms + pause - now_ms)
 
     def _plan(self, call: Call, delay_ms: float, now_ms: float) -> list[Action]:
         self.state, self._call = State.PLANNED, call
         self._at = now_ms + delay_ms
         return [SetTimer(LIST_COOKIE, delay_ms)]
 
-    def _make(self) -> list[Action]:
-        self.state, self._old, self._at = State.OUT, False, math.inf
+    def _make(self, now_ms: float) -> list[Action]:
+        self.state, self._old, self._at, self._begun_ms = State.OUT, False, math.inf, now_ms
         if not self._renewed:
             return [WatchList(True)]
         self._number += 1
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -508,7 +508,7 @@
         bench.advance(2000.0)
         bench.feed(ListUpdate(ListKind.DELTA, 2))  # the watch lives, and breaks
         gaps = []
-        for _ in range(6):
+        for _ in range(18):  # well past the bound, after which the pauses grow
             start = bench.now
             bench.feed(ListUpdate(ListKind.FAILED))
             before = sum(isinstance(a, WatchList) for a in bench.actions)
