--- a/larkweir/engine.py
+++ b/larkweir/engine.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+import math
 import traceback
 from collections import deque
 from collections.abc import Callable, Sequence
@@ -19,6 +20,7 @@
 from larkweir.sources.discovery import Listing
 from larkweir.upstreams import LOAD_HEADER, Call, Upstreams, report_of
 from mulleinhitch import Balancer
+from mulleinhitch.freshness import told_after_ms
 from mulleinhitch.interface import (
     Action,
     AnswerStarted,
@@ -239,6 +241,8 @@
         self._traces = shared.traces
         self._next = 1
         self._entries: dict[int, ServerEntry] = {}  # as last told
+        self._listed_ms = math.inf  # when the list held was last a whole answer
+        self._told_after_ms = told_after_ms(settings) if settings.watch_renewed else math.inf
         self._kept: frozenset[int] | None = None  # servers that may be sent to; None stands for all
         self._events: deque[Event] = deque()
         self._busy = False
@@ -308,18 +312,23 @@
     def on_listing(self, listing: Listing) -> None:
         if self._kept is not None:
             listing = self._narrowed(listing, self._kept)
+        now = self.clock.now_ms()
+        # The grace runs from when the word counted as told, which is before it came where the list is old.
+        told_ms = min(now, self._listed_ms + self._told_after_ms)
+        if self._listed_ms == math.inf or listing.kind in (ListKind.FULL, ListKind.DELTA):
+            self._listed_ms = now
         whole = listing.kind in (ListKind.FULL, ListKind.CACHED)
         named = {entry.server for entry in listing.entries}
         if whole:
             for upstream in list(self.upstreams.table.values()):
                 if upstream.number not in named:  # absent from a whole list: gone
                     self.upstreams.update(
-                        upstream.number, upstream.address, ServerState.GONE, upstream.started_ms
+                        upstream.number, upstream.address, ServerState.GONE, upstream.started_ms, told_ms
                     )
             self._entries = {number: row for number, row in self._entries.items() if number in named}
         for entry, address in zip(listing.entries, listing.addresses, strict=True):
             self._entries[entry.server] = entry
-            self.upstreams.update(entry.server, address, entry.state, entry.started_ms)
+            self.upstreams.update(entry.server, address, entry.state, entry.started_ms, told_ms)
         update = ListUpdate(listing.kind, listing.version, listing.entries, listing.call)
         if self.observer is not None:
             self.observer.hear_list(update, list(map(spell, listing.addresses)), listing.why)
@@ -349,9 +358,8 @@
         for upstream in list(self.upstreams.table.values()):
             if upstream.state is ServerState.READY and upstream.number not in keep:
                 self.upstreams.update(
-                    upstream.number, upstream.address, ServerState.DRAINING, upstream.started_ms
+                    upstream.number, upstream.address, ServerState.DRAINING, upstream.started_ms, told_ms
                 )
-                upstream.told_ms = told_ms
                 entries.append(replace(self._entries[upstream.number], state=ServerState.DRAINING))
         if entries:
             self._deliver(ListUpdate(ListKind.DELTA, 0, entries))
--- a/larkweir/upstreams.py
+++ b/larkweir/upstreams.py
@@ -38,13 +38,15 @@
     started_ms: float
     told_ms: float = 0.0  # when it was told to drain or to be gone
 
-    def move(self, address: Address, state: ServerState, started_ms: float, now_ms: float) -> bool:
-        """Take over what discovery tells; whether connections from before lead to the same process."""
+    def move(self, address: Address, state: ServerState, started_ms: float, told_ms: float) -> bool:
+        """Take over what discovery tells, and counts as told since `told_ms`; whether connections from before
+        lead to the same process.
+        """
         same = self.address == address and (self.started_ms == started_ms or state is not ServerState.READY)
         if state is ServerState.READY:
             self.told_ms = 0.0
         elif self.state is ServerState.READY or not self.told_ms:
-            self.told_ms = now_ms  # the grace runs from the first word of it
+            self.told_ms = told_ms  # the grace runs from the first word of it
         self.address, self.state, self.started_ms = address, state, started_ms
         return same
 
@@ -562,15 +564,17 @@
     def sockets(self) -> int:
         return len(self._open) + len(self._connecting)
 
-    def update(self, number: int, address: Address, state: ServerState, started_ms: float) -> None:
-        now = self._clock.now_ms()
+    def update(
+        self, number: int, address: Address, state: ServerState, started_ms: float, told_ms: float
+    ) -> None:
+        """What discovery tells of one upstream; `told_ms`: since when that counts as told."""
         upstream = self.table.get(number)
         if upstream is None:
             if state is not ServerState.GONE:
-                told = 0.0 if state is ServerState.READY else now
+                told = 0.0 if state is ServerState.READY else told_ms
                 self.table[number] = Upstream(number, address, state, started_ms, told)
             return
-        same = upstream.move(address, state, started_ms, now)
+        same = upstream.move(address, state, started_ms, told_ms)
         if not same or state is ServerState.GONE:
             self.close_idle(number)
         if state is ServerState.GONE:
--- a/mulleinhitch/freshness.py
+++ b/mulleinhitch/freshness.py
@@ -58,6 +58,13 @@
 LEAST_MS = 1_000.0  # guards discovery against settings by which a list would be old at once
 
 
+def told_after_ms(settings: Settings) -> float:
+    """How long after discovery has a change it counts as told, whatever the copy has heard: the bound. A copy
+    that neither watches nor asks is told of all that is older than the settings' time for asking.
+    """
+    return min(TOLD_MS, max(LEAST_MS, settings.ask_within_ms)) if settings.on_request_discovery else TOLD_MS
+
+
 class Doubted(Protocol):
     """A listed server, as far as the list's age is judged by it. `strikes`: failures since it last served."""
 
@@ -110,8 +117,7 @@
         self._ask_within_ms = settings.ask_within_ms
         self._renewed = settings.watch_renewed
         self._asked = settings.on_request_discovery
-        # A copy that neither watches nor asks is told of all that is older than the settings' time for it.
-        self.told_ms = min(TOLD_MS, max(LEAST_MS, settings.ask_within_ms)) if self._asked else TOLD_MS
+        self.told_ms = told_after_ms(settings)
         third = self.told_ms / 3.0
         if self._asked:
             self._pace = Pace(self.SPREAD_MS, self.told_ms / 8.0, third)
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -10,6 +10,7 @@
 import pytest
 import uvloop
 
+from larkweir.sources.discovery import Listing
 from larkweir.upstreams import parse_report
 from mulleinhitch.interface import (
     Action,
@@ -18,12 +19,15 @@
     ClientGone,
     Event,
     Fail,
+    ListKind,
     ListUpdate,
     Outcome,
     Probe,
     ProbeEnded,
     RequestArrived,
     Send,
+    ServerEntry,
+    ServerState,
 )
 from tests.fakes import (
     PATIENCE_S,
@@ -603,6 +607,28 @@
     run(work())
 
 
+def test_the_grace_of_a_drain_runs_from_when_it_counted_as_told_not_from_when_it_was_heard() -> None:
+    """Guards the drain behind a list that grew old: its word came late, and a send still connecting would go
+    out within a grace that was over.
+    """
+
+    async def work() -> None:
+        upstream = await FakeUpstream().start()
+        async with running(upstream.entry("a"), script=Script([1])) as balancer:
+            engine, clock = balancer.engine, balancer.shared.clock
+            for age_s, late in ((5.0, False), (6.6, True)):  # the grace is 0.5 s, told counts after 6 s
+                engine._listed_ms = clock.now_ms() - 1_000.0 * age_s
+                row = ServerEntry(1, ServerState.DRAINING)
+                address = ("127.0.0.1", upstream.port)
+                engine.on_listing(Listing(ListKind.DELTA, 2, (row,), (address,)))
+                assert engine.upstreams.past_grace(engine.upstreams.table[1]) is late
+                ready = ServerEntry(1, ServerState.READY)
+                engine.on_listing(Listing(ListKind.DELTA, 3, (ready,), (address,)))
+        upstream.close()
+
+    run(work())
+
+
 def test_nothing_new_goes_to_a_drained_upstream() -> None:
     """Guards the drain with the module's own decisions: the next requests all go to the other one."""
 
