--- a/larkweir/engine.py
+++ b/larkweir/engine.py
@@ -76,6 +76,9 @@
     def cut(self) -> None:
         """The answer that was begun has no end: the caller must be able to tell."""
 
+    def departed(self) -> bool:
+        """Whether it is known to have left, also where nothing is read from it at present."""
+
 
 class Exchange:
     """One request, from its arrival until it is answered and its last attempt has ended."""
@@ -593,6 +596,7 @@
         left = exchange.deadline_ms - now
         timeout = min(left, action.timeout_ms) if action.timeout_ms else left
         upstream = self.upstreams.table.get(action.server)
+        self._look_for(exchange)
         exchange.attempts.append(None)
         exchange.servers.append(action.server)
         exchange.out += 1
@@ -612,6 +616,7 @@
             return self._request_of(exchange.message, left)
 
         def blocked() -> Outcome | None:
+            self._look_for(exchange)
             if exchange.over or self.upstreams.past_grace(upstream):
                 return Outcome.MOOT
             return None
@@ -627,6 +632,13 @@
         exchange.attempts[number] = call
         self.upstreams.start(call, timeout)
 
+    def _look_for(self, exchange: Exchange) -> None:
+        """Its caller, before anything is begun for it: guards against attempts for one whose end waits unread
+        or unseen, whatever the request has waited for.
+        """
+        if not exchange.over and exchange.caller.departed():
+            self.client_gone(exchange.number)
+
     def _attempt_ended(
         self,
         exchange: Exchange,
--- a/larkweir/listener.py
+++ b/larkweir/listener.py
@@ -105,6 +105,7 @@
         self._closing_after = False
         self._endless = False  # only the close will tell the caller where it ends
         self._reader.headed = self._headed
+        self._end_poll: select.poll | None = None  # for its caller's end, made at the first look
         self.fresh = True  # no request has come whole
         self.since_ms = listener.shared.clock.now_ms()  # of what its state is timed from
 
@@ -155,8 +156,9 @@
             self._reader.fail(Fault(503, "out of memory for requests"))
             self._let_go()
             self._book()
-        if len(self._waiting) >= self.AHEAD and self._transport is not None:
+        if self.crowded and self._transport is not None:
             self._transport.pause_reading()  # guards against a caller that sends and never reads
+            self._listener.watch_end(self)
         if self._reader.expects_continue:
             self._continue()
         self._step()
@@ -347,7 +349,17 @@
         """
         if self._transport is None or self._listener.half_close:
             return False
-        return waits(self._descriptor, select.POLLRDHUP)
+        if self._transport.is_closing():
+            return True  # and its descriptor may be another's by now
+        if self._end_poll is None:
+            self._end_poll = select.poll()
+            self._end_poll.register(self._descriptor, select.POLLRDHUP)
+        return bool(self._end_poll.poll(0))
+
+    @property
+    def crowded(self) -> bool:
+        """Whether so many requests wait on it that nothing more is read, its caller's end included."""
+        return len(self._waiting) >= self.AHEAD
 
     @property
     def _descriptor(self) -> int:
@@ -427,7 +439,7 @@
         finally:
             self._stepping = False
         self._listener.place(self)
-        held = self._flow is not None or self._place is not None or len(self._waiting) >= self.AHEAD
+        held = self._flow is not None or self._place is not None or self.crowded
         if self._terms is not None and self._reader.openable:
             held = True  # its turn has not come; no more is held of it until then
             if self._transport is not None:
@@ -573,6 +585,9 @@
     BATCH = 16  # accepts in a row: guards those just accepted, whose requests are to be read, against a flood
     LOOK = 32  # connections looked at to make room for one
     SWEEP_MS = 250.0
+    # Between two looks for the end of callers on whose connections nothing is read: from 0.1 s after it on,
+    # nothing may be begun for them.
+    END_MS = 50.0
 
     def __init__(
         self, address: Address, shared: Shared, front: Front, name: str = "", half_close: bool = False
@@ -589,6 +604,7 @@
         self._fresh: dict[CallerConnection, None] = {}  # of these, without a whole request so far
         self._idle: dict[CallerConnection, None] = {}  # between requests, the one idle for longest first
         self._leaving: dict[CallerConnection, None] = {}  # their last answer is given
+        self._crowded: dict[CallerConnection, None] = {}  # nothing is read from them
         self._paused = False
         self._listening = False
         self._stopping = False  # the listening socket is closed once nobody waits in it
@@ -703,11 +719,26 @@
     def left(self, connection: CallerConnection) -> None:
         if connection in self._connections:
             self.shared.callers -= 1
-        for table in (self._connections, self._fresh, self._leaving, self._idle):
+        for table in (self._connections, self._fresh, self._leaving, self._idle, self._crowded):
             table.pop(connection, None)
         if self._paused:
             self._resume()
 
+    def watch_end(self, connection: CallerConnection) -> None:
+        """Look out for its caller's end for as long as it is crowded."""
+        if not self._crowded:
+            self.shared.clock.after(self.END_MS, self._look_for_ends)
+        self._crowded[connection] = None
+
+    def _look_for_ends(self) -> None:
+        for connection in list(self._crowded):
+            if not connection.crowded or connection.ending:
+                del self._crowded[connection]
+            elif connection.departed():
+                connection.abort()
+        if self._crowded:
+            self.shared.clock.after(self.END_MS, self._look_for_ends)
+
     def _make_room(self) -> bool:
         """Close a connection that has never sent a whole request, the oldest first, else one that has had its
         last answer, else the one idle for longest. Guards good callers against those that connect and say
--- a/tests/crossings/test_callers_leave.py
+++ b/tests/crossings/test_callers_leave.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections.abc import Callable
 
 import pytest
@@ -10,12 +12,48 @@
 from larkweir.listener import CallerConnection
 from larkweir.upstreams import UpstreamConnection
 from mulleinhitch import Balancer
-from mulleinhitch.interface import Action, ClientGone, Event, RequestArrived, TimerFired
+from mulleinhitch.interface import Action, ClientGone, Event, Outcome, RequestArrived, Send, TimerFired
 from tests.crossings.harness import dial, holds, until
-from tests.fakes import PATIENCE_S, FakeUpstream, Incoming, Script, Talk, request_bytes, running, status
+from tests.fakes import (
+    PATIENCE_S,
+    FakeUpstream,
+    Incoming,
+    Running,
+    Script,
+    Talk,
+    request_bytes,
+    running,
+    status,
+)
 from tests.test_attempts import run
 
-LATER_S = 0.3  # from which on nothing may be sent
+LATER_MS = 100.0  # from which on nothing may be begun
+
+
+def crowd(balancer: Running) -> socket.socket:
+    """A caller that sends so much ahead that nothing more is read from it, its end included, and whose end
+    nobody looks out for: what is begun after it is then kept back by the look before each attempt alone.
+    """
+    balancer.listener.SWEEP_MS = balancer.listener.END_MS = 1e9
+    caller = dial(balancer.port)
+    caller.sendall(b"".join(request_bytes() for _ in range(CallerConnection.AHEAD)))
+    return caller
+
+
+async def crowded(balancer: Running, caller: socket.socket) -> None:
+    """To be called once its first request is begun."""
+    caller.sendall(request_bytes())
+    (connection,) = balancer.listener._connections
+    connection.check = lambda now_ms: None  # type: ignore[method-assign]
+    await until(lambda: connection.crowded)
+
+
+async def leaves(balancer: Running, caller: socket.socket) -> None:
+    """It has left, the system knows, and the program has not been told."""
+    (connection,) = balancer.listener._connections
+    caller.close()
+    await until(connection.departed)
+    assert balancer.engine.owed
 
 
 def test_behind_requests_sent_ahead_with_reading_paused() -> None:
@@ -33,12 +71,13 @@
             caller.sendall(request_bytes())
             (connection,) = balancer.listener._connections
             await until(lambda: len(connection._waiting) == connection.AHEAD)
+            balancer.listener.SWEEP_MS = 1e9  # which is for the others
+            connection.check = lambda now_ms: None  # type: ignore[method-assign]
+            assert 2.0 * balancer.listener.END_MS <= LATER_MS
             caller.close()
-            left = balancer.shared.clock.now_ms()
-            async with asyncio.timeout(PATIENCE_S):  # the sweep finds it out, though the upstream hangs
+            async with asyncio.timeout(PATIENCE_S):  # it is looked out for, though the upstream hangs
                 while not isinstance(await script.told.get(), ClientGone):
                     pass
-            assert balancer.shared.clock.now_ms() - left < 1000.0 * LATER_S + 700.0  # of a loaded machine
             go.set()
             await until(lambda: not balancer.engine.open)
             assert len(upstream.seen) == 1
@@ -208,3 +247,128 @@
         upstream.close()
 
     run(work())
+
+
+def test_unseen_while_its_attempt_fails_that_would_be_repeated() -> None:
+    """The same with reading paused: the failure comes before anybody has seen the caller's end."""
+
+    async def work() -> None:
+        go = asyncio.Event()
+
+        async def fails(request: Incoming, talk: Talk) -> None:
+            await go.wait()
+            await talk.send(status(500))
+
+        upstream = await FakeUpstream(fails).start()
+        async with running(upstream.entry("a")) as balancer:
+            caller = crowd(balancer)
+            await until(lambda: upstream.seen)
+            await crowded(balancer, caller)
+            await leaves(balancer, caller)
+            go.set()
+            await until(lambda: not balancer.engine.open)
+            assert len(upstream.seen) == 1
+        upstream.close()
+
+    run(work())
+
+
+def test_unseen_while_a_second_copy_is_decided_on() -> None:
+    """A copy beside the first attempt, which is still out, goes to another server."""
+
+    async def work() -> None:
+        go = asyncio.Event()
+        first, second = await FakeUpstream(holds(go)).start(), await FakeUpstream().start()
+        script = Script([1])
+        async with running(first.entry("a"), second.entry("b"), script=script) as balancer:
+            script.more = lambda event: (
+                [Send(1, 2, 0.0)] if isinstance(event, TimerFired) and event.cookie == 1 else None
+            )
+            caller = crowd(balancer)
+            await until(lambda: first.seen)
+            await crowded(balancer, caller)
+            await leaves(balancer, caller)
+            balancer.engine._deliver(TimerFired(1))
+            assert script.ends()[-1].outcome is Outcome.MOOT
+            assert any(isinstance(event, ClientGone) for event in script.events)
+            go.set()
+            await until(lambda: not balancer.engine.open)
+            assert not second.seen and second.connections == 0
+        first.close()
+        second.close()
+
+    run(work())
+
+
+def test_unseen_while_its_last_byte_is_held_back() -> None:
+    async def work() -> None:
+        upstream = await FakeUpstream().start()
+        script = Script([1])
+        async with running(upstream.entry("a"), script=script) as balancer:
+            with dial(balancer.port) as other:  # leaves a connection that is kept
+                other.sendall(request_bytes())
+                await until(lambda: upstream.seen and not balancer.engine.open)
+            await until(lambda: not balancer.listener.connections)
+            held: list[Callable[[], None]] = []
+            balancer.engine.upstreams.later = held.append  # type: ignore[method-assign]
+            caller = crowd(balancer)
+            await until(lambda: held)
+            await crowded(balancer, caller)
+            await leaves(balancer, caller)
+            held[0]()
+            await until(lambda: not balancer.engine.open)
+            assert len(upstream.seen) == 1
+        upstream.close()
+
+    run(work())
+
+
+def test_unseen_while_it_waits_in_the_decisions() -> None:
+    async def work() -> None:
+        upstream = await FakeUpstream().start()
+        async with running(upstream.entry("a", lifecycle="leaving")) as balancer:
+            decisions = balancer.engine.balancer
+            assert isinstance(decisions, Balancer)
+            caller = crowd(balancer)
+            await until(lambda: decisions.held)
+            await crowded(balancer, caller)
+            await leaves(balancer, caller)
+            balancer.discovery.change(upstream.entry("a"))
+            await until(lambda: not balancer.engine.open)
+            assert not upstream.seen and upstream.connections == 0
+        upstream.close()
+
+    run(work())
+
+
+@pytest.mark.parametrize("seen", [True, False])
+def test_a_caller_that_resets_is_gone_like_one_that_closes(seen: bool) -> None:
+    """In both states of reading."""
+
+    async def work() -> None:
+        go = asyncio.Event()
+
+        async def fails(request: Incoming, talk: Talk) -> None:
+            await go.wait()
+            await talk.send(status(500))
+
+        upstream = await FakeUpstream(fails).start()
+        async with running(upstream.entry("a")) as balancer:
+            if seen:
+                caller = dial(balancer.port)
+                caller.sendall(request_bytes())
+            else:
+                caller = crowd(balancer)
+            await until(lambda: upstream.seen)
+            if not seen:
+                await crowded(balancer, caller)
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            (connection,) = balancer.listener._connections
+            caller.close()
+            await until(lambda: not balancer.engine.owed if seen else connection.departed())
+            go.set()
+            await until(lambda: not balancer.engine.open)
+            assert len(upstream.seen) == 1
+        upstream.close()
+
+    run(work())
