--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -113,7 +113,6 @@
     run(work())
 
 
-@pytest.mark.parametrize("limit", [256])
 def test_peers_that_say_nothing_are_closed_in_time_while_discovery_is_down(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
