--- a/tests/crossings/skipping.py
+++ b/tests/crossings/skipping.py
@@ -57,6 +57,7 @@
         left = asyncio.all_tasks(loop)  # of stand-ins that a fault keeps waiting
         for task in left:
             task.cancel()
-        loop.run_until_complete(asyncio.gather(*left, return_exceptions=True))
+        if left:
+            loop.run_until_complete(asyncio.gather(*left, return_exceptions=True))
         loop.run_until_complete(loop.shutdown_asyncgens())
         loop.close()
