--- a/mulleinhitch/freshness.py
+++ b/mulleinhitch/freshness.py
@@ -124,7 +124,8 @@
         if self._asked:
             # Past the bound about one call a copy in each bound, so that a discovery that can serve the fleet
             # within it is not kept busy by refusals; but no longer than the grace leaves once it is back.
-            self._pace = Pace(self.SPREAD_MS, 2.0 * third, self.told_ms + settings.drain_grace_ms / 2.0)
+            grace_ms = min(settings.drain_grace_ms, self.told_ms)  # guards against one without end
+            self._pace = Pace(self.SPREAD_MS, 2.0 * third, self.told_ms + grace_ms / 2.0)
         else:
             # Pushed lists come from the copy's own agent, whose word counts at once when it is back: nobody
             # else waits there, and a pause must fit into the shortest grace.
--- /dev/null
+++ b/tests/freshness/test_settings.py
@@ -0,0 +1,94 @@
+"""Settings that bear on the list's age and on cold servers: a value that makes no sense is named, one that is
+odd but legal neither stops a copy nor makes it call without pause.
+"""
+
+from __future__ import annotations
+
+import json
+from random import Random
+from typing import Any
+
+import pytest
+
+from larkweir.config.platform import decode
+from larkweir.core.address import ConfigError
+from mulleinhitch.freshness import LEAST_MS, TOLD_MS, Freshness, told_after_ms
+from mulleinhitch.interface import ListKind, ListUpdate, SetTimer, WatchList
+from standins.platform import SETTINGS, config_data, entry
+
+KEYS = ["DrainGraceMs", "AskWithinMs", "ColdMs", "FallMs", "PeersTotal"]
+NONSENSE = [-1, -0.5, "soon", None, True, [], {}, 1e400]
+MAY_BE_ZERO = {
+    "DrainGraceMs": True,
+    "AskWithinMs": True,
+    "ColdMs": True,
+    "FallMs": False,
+    "PeersTotal": False,
+}
+
+
+def settings_with(key: str, value: Any) -> dict[str, Any]:
+    settings = SETTINGS | {"Discovery": "on_request", "Guarantees": dict(SETTINGS["Guarantees"])}
+    place = settings if key == "PeersTotal" else settings["Guarantees"]
+    if value is ...:
+        place.pop(key, None)
+    else:
+        place[key] = value
+    return settings
+
+
+def text_of(settings: dict[str, Any]) -> str:
+    return json.dumps(config_data([entry("a", 9)], 9, settings=settings))
+
+
+@pytest.mark.parametrize("value", NONSENSE, ids=repr)
+@pytest.mark.parametrize("key", KEYS)
+def test_a_value_that_makes_no_sense_is_named_with_its_key(key: str, value: Any) -> None:
+    with pytest.raises(ConfigError) as raised:
+        decode(text_of(settings_with(key, value)), {})
+    told = str(raised.value)
+    assert key in told and "\n" not in told
+    assert repr(value) in told or "inf" in told
+
+
+@pytest.mark.parametrize("key", KEYS)
+def test_zero_is_named_or_taken(key: str) -> None:
+    text = text_of(settings_with(key, 0))
+    if MAY_BE_ZERO[key]:
+        decode(text, {})
+        return
+    with pytest.raises(ConfigError, match=key):
+        decode(text, {})
+
+
+@pytest.mark.parametrize("key", KEYS)
+@pytest.mark.parametrize("value", [..., 0.0, 1.0, 1e12], ids=["missing", "zero", "tiny", "vast"])
+def test_whatever_is_taken_a_copy_calls_within_bounds(key: str, value: Any) -> None:
+    """At most some calls a second, and at least one in the bound and its longest pause, for a minute of
+    failures.
+    """
+    if value is not ... and not (value or MAY_BE_ZERO[key]):
+        return
+    if key == "PeersTotal" and value is not ...:
+        value = int(value)
+    settings = decode(text_of(settings_with(key, value)), {}).settings
+    assert LEAST_MS <= told_after_ms(settings) <= TOLD_MS
+    freshness = Freshness(settings, Random(1))
+    now, calls = 0.0, []
+    actions = freshness.heard(ListUpdate(ListKind.CACHED, 1), now)
+    for _ in range(10_000):
+        (action,) = actions
+        if isinstance(action, SetTimer):
+            now += action.delay_ms
+            if now > 60_000.0:
+                break
+            actions = freshness.fired(action.cookie, now)
+        else:
+            assert isinstance(action, WatchList)
+            calls.append(now)
+            actions = freshness.heard(ListUpdate(ListKind.FAILED, 1, call=action.call), now)
+    else:
+        raise AssertionError(f"{len(calls)} calls in {now:.0f} ms")
+    assert len(calls) <= 60 * 6
+    if key != "DrainGraceMs":
+        assert len(calls) >= 6
