--- a/tests/freshness/test_settings.py
+++ b/tests/freshness/test_settings.py
@@ -18,13 +18,7 @@
 
 KEYS = ["DrainGraceMs", "AskWithinMs", "ColdMs", "FallMs", "PeersTotal"]
 NONSENSE = [-1, -0.5, "soon", None, True, [], {}, 1e400]
-MAY_BE_ZERO = {
-    "DrainGraceMs": True,
-    "AskWithinMs": True,
-    "ColdMs": True,
-    "FallMs": False,
-    "PeersTotal": False,
-}
+MAY_BE_ZERO = {"DrainGraceMs", "AskWithinMs", "ColdMs"}
 
 
 def settings_with(key: str, value: Any) -> dict[str, Any]:
@@ -44,6 +38,9 @@
 @pytest.mark.parametrize("value", NONSENSE, ids=repr)
 @pytest.mark.parametrize("key", KEYS)
 def test_a_value_that_makes_no_sense_is_named_with_its_key(key: str, value: Any) -> None:
+    if value is None and key != "DrainGraceMs":  # as if it were missing: the default
+        assert decode(text_of(settings_with(key, None)), {}) == decode(text_of(settings_with(key, ...)), {})
+        return
     with pytest.raises(ConfigError) as raised:
         decode(text_of(settings_with(key, value)), {})
     told = str(raised.value)
@@ -54,7 +51,7 @@
 @pytest.mark.parametrize("key", KEYS)
 def test_zero_is_named_or_taken(key: str) -> None:
     text = text_of(settings_with(key, 0))
-    if MAY_BE_ZERO[key]:
+    if key in MAY_BE_ZERO:
         decode(text, {})
         return
     with pytest.raises(ConfigError, match=key):
@@ -67,8 +64,10 @@
     """At most some calls a second, and at least one in the bound and its longest pause, for a minute of
     failures.
     """
-    if value is not ... and not (value or MAY_BE_ZERO[key]):
+    if value == 0.0 and key not in MAY_BE_ZERO:
         return
+    if key == "DrainGraceMs" and value == 1e12:
+        value = 9e8  # the most that is taken
     if key == "PeersTotal" and value is not ...:
         value = int(value)
     settings = decode(text_of(settings_with(key, value)), {}).settings
@@ -89,6 +88,4 @@
             actions = freshness.heard(ListUpdate(ListKind.FAILED, 1, call=action.call), now)
     else:
         raise AssertionError(f"{len(calls)} calls in {now:.0f} ms")
-    assert len(calls) <= 60 * 6
-    if key != "DrainGraceMs":
-        assert len(calls) >= 6
+    assert 6 <= len(calls) <= 60 * 6
