--- a/mulleinhitch/freshness.py
+++ b/mulleinhitch/freshness.py
@@ -107,9 +107,7 @@
     # Past a renewal's wait, for the answer to come: it takes no turn, and a copy may read late on a part of a
     # core.
     SEEN_MS = 500.0
-    PACE_MS = (
-        25.0  # from an answer to the next call: well under the 200 ms that end a watch, and no busy loop
-    )
+    PACE_MS = 25.0  # from an answer to the next call: well under what ends a watch, and no busy loop
     DOUBT_MS = 2_000.0  # about as long as news of a server take to come by the list
 
     def __init__(self, settings: Settings, rng: Random) -> None:
@@ -147,10 +145,6 @@
         self._doubt_ms = 0.0  # from the last call for that reason to the next; 0: there was none
         self._doubt_at = 0.0
 
-    def left_ms(self, now_ms: float) -> float:
-        """Until the next whole answer is due; less than 0 once the bound has passed."""
-        return self._due_ms - now_ms
-
     # ------------------------------------------------ events
 
     def heard(self, update: ListUpdate, now_ms: float) -> list[Action]:
--- a/tests/crossings/harness.py
+++ b/tests/crossings/harness.py
@@ -29,16 +29,21 @@
             await asyncio.sleep(0.001)
 
 
-def holds(go: asyncio.Event, body: bytes = b"served") -> Behaviour:
-    """A server that answers once it may."""
+def answers(go: asyncio.Event, answer: bytes) -> Behaviour:
+    """A server that gives that answer once it may."""
 
     async def held(request: Incoming, talk: Talk) -> None:
         await go.wait()
-        await talk.send(ok(body))
+        await talk.send(answer)
 
     return held
 
 
+def holds(go: asyncio.Event, body: bytes = b"served") -> Behaviour:
+    """A server that serves once it may."""
+    return answers(go, ok(body))
+
+
 async def accepted(listener: socket.socket) -> tuple[socket.socket, bytes]:
     """The next connection to a server played by hand, and the request with a body of one byte on it."""
     connection = await asyncio.to_thread(lambda: listener.accept()[0])
--- a/tests/crossings/test_callers_leave.py
+++ b/tests/crossings/test_callers_leave.py
@@ -13,14 +13,12 @@
 from larkweir.upstreams import UpstreamConnection
 from mulleinhitch import Balancer
 from mulleinhitch.interface import Action, ClientGone, Event, Outcome, RequestArrived, Send, TimerFired
-from tests.crossings.harness import dial, holds, until
+from tests.crossings.harness import answers, dial, holds, until
 from tests.fakes import (
     PATIENCE_S,
     FakeUpstream,
-    Incoming,
     Running,
     Script,
-    Talk,
     request_bytes,
     running,
     status,
@@ -229,12 +227,7 @@
 
     async def work() -> None:
         go = asyncio.Event()
-
-        async def fails(request: Incoming, talk: Talk) -> None:
-            await go.wait()
-            await talk.send(status(500))
-
-        upstream = await FakeUpstream(fails).start()
+        upstream = await FakeUpstream(answers(go, status(500))).start()
         async with running(upstream.entry("a")) as balancer:
             caller = dial(balancer.port)
             caller.sendall(request_bytes())
@@ -254,12 +247,7 @@
 
     async def work() -> None:
         go = asyncio.Event()
-
-        async def fails(request: Incoming, talk: Talk) -> None:
-            await go.wait()
-            await talk.send(status(500))
-
-        upstream = await FakeUpstream(fails).start()
+        upstream = await FakeUpstream(answers(go, status(500))).start()
         async with running(upstream.entry("a")) as balancer:
             caller = crowd(balancer)
             await until(lambda: upstream.seen)
@@ -347,12 +335,7 @@
 
     async def work() -> None:
         go = asyncio.Event()
-
-        async def fails(request: Incoming, talk: Talk) -> None:
-            await go.wait()
-            await talk.send(status(500))
-
-        upstream = await FakeUpstream(fails).start()
+        upstream = await FakeUpstream(answers(go, status(500))).start()
         async with running(upstream.entry("a")) as balancer:
             if seen:
                 caller = dial(balancer.port)
