Review: a case that is ended midway ends the processes that it started

SIGTERM or SIGHUP to a script left the balancer and its temporary folder behind, and in case 1 so did a balancer that was never ready: the watch on its memory failed to stop before the balancer was stopped. Checks and bounds are as before.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -65,9 +65,10 @@
         self._thread.start()
 
     def end(self) -> None:
-        """Stop watching."""
+        """Stop watching, if it has begun."""
         self._ended.set()
-        self._thread.join()
+        if self._thread.is_alive():
+            self._thread.join()
 
     def _memory_mb(self) -> float:
         """Return the private memory of the process (anonymous pages), the least of the usual measures."""
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -500,11 +500,19 @@
     record.write("case", f"disruption: {'yes' if trouble else 'no'}")
 
     async def limited() -> list[str]:
+        # A script that is ended midway still ends what it started: the case is cancelled, and cleans up.
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         async with asyncio.timeout(110.0):
             return await case(record, trouble)
 
     try:
         breaks = asyncio.run(limited())
+    except asyncio.CancelledError:
+        record.write("case", "could not run: ended by a signal")
+        return EXIT_NOT_RUN
     except Exception as problem:  # whatever it is, it shows nothing about the rule
         record.write("case", f"could not run: {problem!r}")
         return EXIT_NOT_RUN
