Bodies in small chunks count in the memory budget with what they occupy

Cause: MessageParser kept each piece of a buffered body as an object of its own, and buffered_bytes, which is all that the memory budget sees, counted the payload.

Evidence: tracemalloc around a parser, by shape of message. Undercounted too: heads of many short fields (17 KB counted as 1 KB) and trailers, which httptools retains until their end (up to 1 MiB). Chunk extensions are not retained by httptools.

Change: pieces are joined as they arrive (ByteBuffer); buffered_bytes is the size of that buffer, the cost of the fields and an upper limit of what httptools retains. A trailer section or chunk extension of a buffered body ends at 32 KiB, as that of a streamed body did before.

--- a/sandhatch/http1/message.py
+++ b/sandhatch/http1/message.py
@@ -29,8 +29,8 @@
     )
 )
 
-# Approximate memory overhead of one header field in addition to its bytes.
-FIELD_OVERHEAD_BYTES = 128
+# Memory of one header field in addition to its bytes: four objects and their entries in two lists.
+FIELD_OVERHEAD_BYTES = 240
 
 
 class Message:
@@ -82,7 +82,8 @@
     @property
     def approximate_bytes(self) -> int:
         """Approximate size of the message in memory, in bytes."""
-        fields = sum(len(name) + len(value) + FIELD_OVERHEAD_BYTES for name, value in self.headers)
+        # The name counts twice: `lower_names` has a copy.
+        fields = sum(2 * len(name) + len(value) + FIELD_OVERHEAD_BYTES for name, value in self.headers)
         return len(self.body) + len(self.target) + fields
 
     def add(self, name: bytes, value: bytes) -> None:
--- a/sandhatch/http1/message_parser.py
+++ b/sandhatch/http1/message_parser.py
@@ -39,6 +39,7 @@
     MAX_STREAMED_FRAMING_BYTES,
 )
 from sandhatch.http1.message import Message
+from sandhatch.runtime.byte_buffer import ByteBuffer
 from sandhatch.streaming.headers import Headers
 from sandhatch.streaming.interfaces import Piece
 
@@ -91,11 +92,14 @@
         self._events: list[Event] = []  # events from the bytes of the read that is being parsed
         self._messages_in_read = 0
         self._message = Message()
-        self._body_parts: list[bytes] = []
+        self._body = ByteBuffer()  # body of a message that is not opened
         self._body_bytes = 0  # bytes received of the current body
         self._message_bytes = 0  # bytes fed since the last complete message
         self._trailers: Headers = []
-        self._bytes_since_body = 0  # bytes fed since the last piece of a streamed body
+        self._bytes_since_body = 0  # bytes fed since the head or the last piece of the body
+        self._framing_bytes_in_read = 0  # bytes of the read that is being parsed, without pieces of bodies
+        # Upper limit of the bytes that httptools retains of a field or trailer whose end has not arrived.
+        self._unparsed_bytes = 0
         self._open_at_bytes = (
             NOT_STREAMED  # number of buffered body bytes from which the body may be streamed
         )
@@ -115,10 +119,10 @@
 
     @property
     def buffered_bytes(self) -> int:
-        """Approximate size of the incomplete message in memory, in bytes."""
+        """Memory that the incomplete message occupies, in bytes, not counting a body that was opened."""
         if self._state is OPENED or not self._message_bytes:
             return 0
-        return min(self._message_bytes, MAX_HEAD_BYTES) + self._body_bytes
+        return self._message.approximate_bytes + self._body.memory_bytes + self._unparsed_bytes
 
     @property
     def is_in_body(self) -> bool:
@@ -160,8 +164,7 @@
     def open(self) -> Message:
         """Returns the message with the buffered part of its body; `feed` returns the rest in pieces."""
         message = self._message
-        message.body = b"".join(self._body_parts)
-        self._body_parts = []
+        message.body = self._body.take()
         self._state = OPENED
         self._bytes_since_body = 0
         self._remaining_bytes = (
@@ -183,8 +186,11 @@
         events: list[Event] = []
         self._events = events
         self._messages_in_read = 0
-        self._bytes_since_body += len(data)
-        self._message_bytes += len(data)
+        size = len(data)
+        self._bytes_since_body += size
+        self._message_bytes += size
+        self._unparsed_bytes += size
+        self._framing_bytes_in_read = size
         if self._state is OPENED and self._remaining_bytes >= 0:
             data = self._consume_piece(memoryview(data))
             if not data:
@@ -217,16 +223,18 @@
         self._parser = None
         self.on_head = None
         self._message = Message()
-        self._body_parts = []
+        self._body.clear()
         self._events = []
         self._body_bytes = 0
         self._message_bytes = 0
+        self._unparsed_bytes = 0
 
     def _consume_piece(self, data: memoryview) -> Piece:
         """Add the part of `data` that belongs to the opened body as a piece; returns the bytes after it."""
         piece = data[: self._remaining_bytes]
         self._remaining_bytes -= len(piece)
         self._body_bytes += len(piece)
+        self._framing_bytes_in_read -= len(piece)
         self._events.append(piece)
         if self._remaining_bytes:
             return b""
@@ -240,8 +248,8 @@
         """Returns a fault if the head, chunk extensions, trailers or the message exceed their limit."""
         if self._state is HEAD:
             return Fault(431, "the head is too long") if self._message_bytes > MAX_HEAD_BYTES else None
-        # httptools buffers a chunk extension or a trailer until its end.
-        if self._state is OPENED and self._bytes_since_body > MAX_HEAD_BYTES:
+        # httptools buffers a trailer until its end.
+        if self._bytes_since_body > MAX_HEAD_BYTES:
             return Fault(400, "too much framing at once")
         if self._open_at_bytes >= 0:
             framing_bytes = self._message_bytes - self._body_bytes
@@ -268,8 +276,9 @@
             # This message follows a complete one in the same read. Its share of the read is unknown here, but
             # the count must be positive for `has_partial_message`.
             self._message_bytes = 1
+            self._unparsed_bytes = self._framing_bytes_in_read
         self._message = Message()
-        self._body_parts = []
+        self._body.clear()
         self._body_bytes = 0
         self._state = HEAD
 
@@ -309,6 +318,7 @@
         """Check the HTTP version; subclasses extend this."""
         assert self._parser is not None
         self._state = BUFFERING
+        self._bytes_since_body = 0
         message = self._message
         version = self._parser.get_http_version()
         if version != "1.1" and (version != "1.0" or message.values(b"transfer-encoding")):
@@ -329,11 +339,14 @@
         self._body_bytes += len(data)
         if self._body_bytes > self._max_body_bytes:
             raise FramingError(413, "the body is too long")
+        self._bytes_since_body = 0
+        # The parts of a read before this piece are parsed; how much of the rest is framing is unknown yet.
+        self._framing_bytes_in_read -= len(data)
+        self._unparsed_bytes = self._framing_bytes_in_read
         if self._state is OPENED:
-            self._bytes_since_body = 0
             self._events.append(data)
         else:
-            self._body_parts.append(data)
+            self._body.append(data)
 
     def on_message_complete(self) -> None:
         """Add the complete message, or the end of an opened body, to the events."""
@@ -341,8 +354,7 @@
             self._finish_opened_body()
             return
         message = self._message
-        message.body = b"".join(self._body_parts)
-        self._body_parts = []
+        message.body = self._body.take()
         self._events.append(message)
         self._expect_next_message()
 
@@ -356,6 +368,7 @@
         """Reset the state of the parser after a complete message."""
         self._messages_in_read += 1
         self._message_bytes = 0
+        self._unparsed_bytes = 0
         self._body_bytes = 0
         self._state = HEAD
         self._open_at_bytes = NOT_STREAMED
