A line on the control socket is buffered in one piece, not one object a read

LineReader kept each read of an incomplete line as an object and counted the payload, so a call that arrives in small reads took many times MAX_BUFFERED_BYTES. Now it uses ByteBuffer.

Test: test_line_received_byte_by_byte_occupies_about_the_counted_bytes, failed on the parent commit. Never seen in service.

--- a/sandhatch/control/framing.py
+++ b/sandhatch/control/framing.py
@@ -10,22 +10,23 @@
 from typing import Any
 
 from sandhatch.control.errors import CallError, FaultReason
+from sandhatch.runtime.byte_buffer import ByteBuffer
 
 MAX_LINE_BYTES = 40 * 1024 * 1024  # fits the largest configuration, encoded as a JSON string
 
 
 class LineReader:
-    """Incremental parser of lines that hold one JSON object each.
-
-    Attributes:
-        buffered_bytes: Number of bytes buffered of an incomplete line.
-    """
+    """Incremental parser of lines that hold one JSON object each."""
 
     def __init__(self, max_line_bytes: int = MAX_LINE_BYTES) -> None:
         """Start with an empty buffer."""
         self._max_line_bytes = max_line_bytes
-        self._parts: list[bytes] = []
-        self.buffered_bytes = 0
+        self._line = ByteBuffer()
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Number of bytes buffered of an incomplete line."""
+        return len(self._line)
 
     def feed(self, data: bytes) -> list[dict[str, Any]]:
         """Add received bytes and return the objects that they complete.
@@ -36,21 +37,17 @@
         objects: list[dict[str, Any]] = []
         while True:
             part, newline, data = data.partition(b"\n")
-            self._parts.append(part)
-            self.buffered_bytes += len(part)
+            self._line.append(part)
             if self.buffered_bytes > self._max_line_bytes:
                 self.clear()
                 raise CallError(f"line too long: more than {self._max_line_bytes} bytes")
             if not newline:
                 return objects
-            line = b"".join(self._parts)
-            self.clear()
-            objects.append(decode(line))
+            objects.append(decode(self._line.take()))
 
     def clear(self) -> None:
         """Discard the buffered bytes."""
-        self._parts = []
-        self.buffered_bytes = 0
+        self._line.clear()
 
 
 def decode(line: bytes) -> dict[str, Any]:
--- a/tests/control/test_control.py
+++ b/tests/control/test_control.py
@@ -7,6 +7,7 @@
 import json
 import os
 import stat
+import tracemalloc
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -191,6 +192,21 @@
     assert LineReader().feed(b'{"a":1}\n{"b":2}\n{"c"') == [{"a": 1}, {"b": 2}]
 
 
+def test_line_received_byte_by_byte_occupies_about_the_counted_bytes() -> None:
+    # Guards against a line in many small reads that takes many times the memory of its limit.
+    received_bytes = 200_000
+    reader = LineReader()
+    tracemalloc.start()
+    try:
+        for number in range(received_bytes):
+            reader.feed(b"%d" % (number % 10))
+        used_bytes = tracemalloc.get_traced_memory()[0]
+    finally:
+        tracemalloc.stop()
+    assert reader.buffered_bytes == received_bytes
+    assert used_bytes < 1.5 * received_bytes
+
+
 def test_exactly_one_of_two_hundred_concurrent_commits_succeeds(tmp_path: Path) -> None:
     """Each commit has its own connection and proposes a different value for the same key."""
 
