--- a/sandhatch/streaming/flow.py
+++ b/sandhatch/streaming/flow.py
@@ -24,6 +24,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from sandhatch.runtime.byte_buffer import ByteBuffer
 from sandhatch.streaming.flow_memory import MIN_CREDIT_BYTES, FlowMemory
 from sandhatch.streaming.headers import Headers
 from sandhatch.streaming.interfaces import FlowObserver, FlowResources, Piece, Sink, Source
@@ -122,7 +123,7 @@
         self._sink: Sink | None = None
         self._unsent_bytes = 0  # bytes that the sink had not sent at the last check
         # Before the first sink is attached, the bytes that wait for it; afterwards, the bytes for a retry.
-        self._replay_buffer: list[bytes] | None = []
+        self._replay_buffer: ByteBuffer | None = ByteBuffer()
         self._replay_bytes = 0
         self._source_paused = False
         self._sink_progress = ProgressMonitor(limits.reader)
@@ -154,7 +155,6 @@
         self._source_progress.record_bytes(size, now_ms)
         if self._replay_buffer is not None:
             if self._sink is None or self._replay_bytes + size <= self.limits.replay_bytes:
-                piece = bytes(piece)
                 self._replay_buffer.append(piece)
                 self._replay_bytes += size
             else:
@@ -204,8 +204,8 @@
             )
         self._sink = sink
         self._unsent_bytes = 0
-        for piece in self._replay_buffer:
-            sink.write(piece)
+        if self._replay_buffer:
+            sink.write(self._replay_buffer.get())
             if self._sink is not sink:  # the sink has failed during the write and was detached from the flow
                 return
         if self._replay_bytes > self.limits.replay_bytes:
--- a/tests/streaming/test_flow.py
+++ b/tests/streaming/test_flow.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import tracemalloc
 from random import Random
 
 import pytest
@@ -161,6 +162,20 @@
     assert sink.received == b"abcd"
 
 
+def test_replay_buffer_of_small_pieces_occupies_about_the_counted_bytes() -> None:
+    # Guards against a body in small chunks that takes many times the memory which its flow counts.
+    fixture = FlowFixture()
+    tracemalloc.start()
+    try:
+        for number in range(64 * KIB):
+            fixture.flow.push(b"%d" % (number % 10))
+        used_bytes = tracemalloc.get_traced_memory()[0]
+    finally:
+        tracemalloc.stop()
+    assert fixture.flow.memory_bytes == 64 * KIB
+    assert used_bytes < 1.5 * fixture.flow.memory_bytes
+
+
 def test_credit_is_limited_to_the_reservation_while_memory_is_short() -> None:
     fixture = FlowFixture(memory_mb=0.5)  # memory budget of 128 KiB, of which the flow has 96
     assert fixture.flow.credit_bytes == 128 * KIB
