Request bytes that a server does not read count in the memory budget

On loopback the kernel accepts a whole request of 64 KiB, so this was shown with small socket buffers alone, never in service.

--- a/sandhatch/upstream/connection.py
+++ b/sandhatch/upstream/connection.py
@@ -77,6 +77,7 @@
             attempt.flow.drained()
         elif not self._withheld_byte:
             attempt.sent_enough_to_run = True
+            self._update_usage(self._parser.buffered_bytes)
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse the bytes that were read, and act on the result."""
@@ -177,7 +178,9 @@
         assert self._transport is not None
         assert self._attempt is not None
         self._transport.write(data)
-        if not self._withheld_byte and self._transport.get_write_buffer_size() == 0:
+        if self._transport.get_write_buffer_size():
+            self._update_usage(self._parser.buffered_bytes)
+        elif not self._withheld_byte:
             self._attempt.sent_enough_to_run = True
 
     def _move_to_new_connection(self, attempt: Attempt) -> None:
--- a/sandhatch/upstream/response_receiver.py
+++ b/sandhatch/upstream/response_receiver.py
@@ -159,12 +159,25 @@
         self._update_usage(self._parser.buffered_bytes)
 
     def _update_usage(self, buffered_bytes: int) -> bool:
-        """Count the larger of buffered and reserved bytes in the memory budget; return whether they fit."""
-        accounted_bytes = max(buffered_bytes, self._reserved_bytes)
+        """Count the connection's bytes in the memory budget; return whether they fit.
+
+        Args:
+            buffered_bytes: Bytes of the response that are buffered; counted are these or the reserved ones,
+                whichever are more, and the bytes of the request that are not sent yet.
+        """
+        accounted_bytes = max(buffered_bytes, self._reserved_bytes) + self._unsent_request_bytes
         fits = self._pool.memory_budget.update_usage(self._accounted_bytes, accounted_bytes)
         self._accounted_bytes = accounted_bytes
         return fits
 
+    @property
+    def _unsent_request_bytes(self) -> int:
+        """Bytes written and not yet accepted by the kernel; a streamed request's are counted by its flow."""
+        transport = self._transport
+        if transport is None or self._socket_writer is not None or transport.is_closing():
+            return 0
+        return transport.get_write_buffer_size()
+
     def _stop_receiving(self) -> None:
         """Reset to READING: release the memory reserved for a response, or cancel the wait for it."""
         self._response_state = READING
--- a/tests/upstream/test_outcomes.py
+++ b/tests/upstream/test_outcomes.py
@@ -198,6 +198,27 @@
         run(scenario(listener))
 
 
+def test_unsent_bytes_of_a_request_count_in_the_memory_budget() -> None:
+    """Guards against servers that don't read, and so take the process over its memory limit."""
+
+    async def scenario(listener: socket.socket) -> None:
+        body_bytes = 60_000
+        script = ScriptedBalancer([1])
+        async with loopback(script=script, entries=(entry("a", listening_port(listener)),)) as network:
+            shrink_send_buffers(network.pool)
+            budget = network.balancer.shared.memory_budget
+            network.client.send_request("move", b"x" * body_bytes)
+            connection, _ = await asyncio.get_running_loop().sock_accept(listener)
+            await wait_until(lambda: budget.used_bytes > 1.5 * body_bytes, "both copies are counted")
+            connection.close()
+            await script.next_attempt_end()
+            assert (await network.client.read_response()).status == 502
+            await wait_until(lambda: not budget.used_bytes, "nothing is counted")
+
+    with listener_with_small_buffer() as listener:
+        run(scenario(listener))
+
+
 async def attempt_in_flight(pool: ConnectionPool) -> Attempt:
     """Wait for an attempt on the pool's only connection, and return it."""
     await wait_until(lambda: pool._open and next(iter(pool._open))._attempt)
