A retry with an idempotency key is not written after the servers forget the key

The connection for its retry came up a second late, and the order was written 1.72 s after its first attempt (limit 1.2 s).

Cause: the window was checked when the attempt was decided and not when its request was written (AttemptContext.blocked_by checks client and drain grace alone).

Change: Balancer.write_deadline_ms states until when an attempt may be written, from the other attempts that may have run, whichever was decided first; the dispatcher asks before the first byte and before a withheld last byte.

--- a/sandhatch/balancing/policy/balancer.py
+++ b/sandhatch/balancing/policy/balancer.py
@@ -102,6 +102,16 @@
         handler(event)  # type: ignore[operator]
         return self.actions
 
+    def write_deadline_ms(self, request_id: int, attempt_number: int) -> float:
+        """Return the time before which an attempt's request must be written; infinity if there is none.
+
+        The retry rules hold when a request is written, which may be long after the attempt was decided.
+        """
+        request = self.requests.get(request_id)
+        if request is None or not 0 <= attempt_number < len(request.attempts):
+            return math.inf
+        return self.retry_rules.write_deadline_ms(request, request.attempts[attempt_number])
+
     # ------------------------------------------------ the common path
 
     def _on_request(self, event: events.RequestArrived) -> None:
--- a/sandhatch/balancing/policy/retry_rules.py
+++ b/sandhatch/balancing/policy/retry_rules.py
@@ -1,10 +1,11 @@
 """Rules for attempts, retries and rejections, and the retry budget."""
 
+import math
 from dataclasses import dataclass
 
 from sandhatch.balancing.events import NEVER_RAN, Outcome, ServerState
 from sandhatch.balancing.records import Attempt, Request, Server
-from sandhatch.balancing.settings import DeduplicationScope, Effect, Settings
+from sandhatch.balancing.settings import DeduplicationScope, Effect, RequestClass, Settings
 
 RETRIES_PER_REQUEST = 0.25  # number of retries that each new request adds to the budget
 MAX_RETRY_BALANCE = 8.0  # maximum retries saved up: covers a burst of failures, but not an outage
@@ -45,7 +46,22 @@
         ran = self.may_have_run(request)
         if not ran or request_class.effect is Effect.NON_IDEMPOTENT:
             return not ran
-        return now_ms + settings.tick_ms < ran[0].sent_ms + request_class.deduplication_ms
+        return now_ms < self._deduplication_end_ms(request_class, ran)
+
+    def write_deadline_ms(self, request: Request, attempt: Attempt) -> float:
+        """Return the time before which this attempt's request must be written; infinity if there is none.
+
+        An attempt that was sent in time may find its connection up only after the servers have forgotten the
+        key of another attempt that may have run, whichever of the two was sent first.
+        """
+        others = [other for other in self.may_have_run(request) if other is not attempt]
+        if not others or request.request_class.effect is not Effect.IDEMPOTENT_WITH_KEY:
+            return math.inf
+        return self._deduplication_end_ms(request.request_class, others)
+
+    def _deduplication_end_ms(self, request_class: RequestClass, ran: list[Attempt]) -> float:
+        """Return the time from which servers may have forgotten the key of the first of these attempts."""
+        return ran[0].sent_ms + request_class.deduplication_ms - self.settings.tick_ms
 
     def _in_scope(self, request: Request, server: Server) -> bool:
         """Return whether this server deduplicates a keyed request that may have run; true without a key."""
--- a/sandhatch/dispatch/attempts.py
+++ b/sandhatch/dispatch/attempts.py
@@ -65,14 +65,19 @@
         return request
 
     def blocked_by(self) -> Outcome | None:
-        """Return DISCARDED if the exchange is closed or the server's drain grace period is over, else None.
+        """Return DISCARDED if the request may no longer be written, else None.
 
-        An exchange whose client has disconnected is closed first.
+        This is so once the exchange is closed, the server's drain grace period is over or the attempt's write
+        deadline has passed. An exchange whose client has disconnected is closed first.
         """
-        self.runner.close_if_client_disconnected(self.exchange)
-        if self.exchange.closed or self.runner.connection_pool.has_drain_grace_expired(self.server):
-            return Outcome.DISCARDED
-        return None
+        runner = self.runner
+        runner.close_if_client_disconnected(self.exchange)
+        blocked = (
+            self.exchange.closed
+            or runner.connection_pool.has_drain_grace_expired(self.server)
+            or runner.clock.now_ms() >= runner.write_deadline_ms(self.exchange.number, self.attempt_number)
+        )
+        return Outcome.DISCARDED if blocked else None
 
     def on_response_started(self, attempt: Attempt, response: Message, reserved_bytes: int) -> Flow | None:
         """Start to stream the response to the client."""
@@ -136,6 +141,7 @@
         clock: Clock of the process.
         connection_pool: Connections of the pool.
         bodies: Streamed bodies of the pool.
+        write_deadline_ms: Returns the time before which the request of an attempt must be written.
     """
 
     PROBE_TIMEOUT_MS = 50.0  # time for the response to a probe, in addition to the connect timeout
@@ -167,6 +173,7 @@
         self._exchanges = exchanges
         self._deliver = callbacks.deliver
         self._disconnect = callbacks.disconnect
+        self.write_deadline_ms = callbacks.write_deadline_ms
         self._max_attempts = settings.max_attempts
         self._probe_timeout_ms = self.PROBE_TIMEOUT_MS + settings.connect_timeout_ms
         has_reports = settings.report_mode is not ReportMode.OFF
--- a/sandhatch/dispatch/dispatcher.py
+++ b/sandhatch/dispatch/dispatcher.py
@@ -100,7 +100,9 @@
         self._endpoints = EndpointUpdates(settings, self.connection_pool)
         self._exchanges = ExchangeTable(self.clock, shared.in_flight_ids)
         self._next_number = NO_REQUEST + 1
-        callbacks = ExchangeCallbacks(self._deliver, self._on_deadline, self.client_disconnected)
+        callbacks = ExchangeCallbacks(
+            self._deliver, self._on_deadline, self.client_disconnected, self._write_deadline_ms
+        )
         self._bodies = StreamedBodies(shared, self._exchanges, self.connection_pool, callbacks)
         self._attempts = AttemptRunner(
             plan, shared, self._exchanges, self.connection_pool, self._bodies, callbacks
@@ -281,6 +283,9 @@
         if exchange is not None:
             self._exchanges.respond(exchange, 500)
 
+    def _write_deadline_ms(self, number: int, attempt_number: int) -> float:
+        return self.balancer.write_deadline_ms(number, attempt_number)
+
     # ------------------------------------------------ actions of the balancer
 
     def _execute(self, action: Action) -> None:
--- a/sandhatch/dispatch/exchange.py
+++ b/sandhatch/dispatch/exchange.py
@@ -106,11 +106,14 @@
         on_deadline: Handles an exchange whose deadline has passed.
         disconnect: Closes the exchange with the given number: with status 0 if its client has disconnected,
             with another status if its body cannot be used.
+        write_deadline_ms: Returns the time in Unix milliseconds before which the request of an attempt must
+            be written, given the numbers of the exchange and of the attempt.
     """
 
     deliver: Callable[[Event], None]
     on_deadline: Callable[[Exchange], None]
     disconnect: Callable[[int, int], None]
+    write_deadline_ms: Callable[[int, int], float]
 
 
 class ExchangeTable(dict[int, Exchange]):
--- a/sandhatch/dispatch/protocols.py
+++ b/sandhatch/dispatch/protocols.py
@@ -31,6 +31,17 @@
             The actions to carry out, in order.
         """
 
+    def write_deadline_ms(self, request_id: int, attempt_number: int) -> float:
+        """Return the time before which an attempt's request must be written.
+
+        Args:
+            request_id: Number of the request.
+            attempt_number: Number of the attempt within the request.
+
+        Returns:
+            The deadline in Unix milliseconds, or infinity. It may change with any event.
+        """
+
 
 class DownstreamClient(Sink, Protocol):
     """The client connection that receives a response.
--- a/tests/balancing/policy/test_retry_rules.py
+++ b/tests/balancing/policy/test_retry_rules.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import replace
 
 from sandhatch.balancing.actions import Fail, Send
@@ -78,6 +79,10 @@
         """Return whether the rules allow a rejection."""
         return self._rules.may_reject(self._request)
 
+    def write_deadline_ms(self, attempt_number: int) -> float:
+        """Return the time before which the request of an attempt must be written."""
+        return self._rules.write_deadline_ms(self._request, self._request.attempts[attempt_number])
+
 
 def test_keyed_request_is_not_retried_after_the_deduplication_time_of_its_first_send() -> None:
     keyed = replace(KEYED, deadline_ms=5000.0, deduplication_scope=DeduplicationScope.ALL)
@@ -88,6 +93,23 @@
     assert never_ran.may_send(4000.0)
 
 
+def test_keyed_attempt_must_be_written_before_the_key_of_any_other_attempt_may_be_forgotten() -> None:
+    # Guards against a second run by an attempt that was decided in time and written late.
+    keyed = replace(KEYED, deadline_ms=5000.0, deduplication_scope=DeduplicationScope.ALL)
+    request = AttemptedRequest(PLAIN, keyed, [Outcome.ERROR, None])
+    assert request.write_deadline_ms(1) == 100.0 + 300.0 - PLAIN.tick_ms
+    # The attempt that was sent first may be the one that is written last.
+    request = AttemptedRequest(replace(PLAIN, hedging_allowed=True), keyed, [None, Outcome.OK])
+    assert request.write_deadline_ms(0) == 100.0 + 300.0 - PLAIN.tick_ms
+
+
+def test_attempt_has_no_write_deadline_without_another_that_may_have_run() -> None:
+    keyed = replace(KEYED, deadline_ms=5000.0)
+    assert AttemptedRequest(PLAIN, keyed, [None]).write_deadline_ms(0) == math.inf
+    assert AttemptedRequest(PLAIN, keyed, [Outcome.CONNECT_FAILED, None]).write_deadline_ms(1) == math.inf
+    assert AttemptedRequest(PLAIN, IDEMPOTENT, [Outcome.ERROR, None]).write_deadline_ms(1) == math.inf
+
+
 def test_hedged_attempt_is_sent_only_if_the_settings_allow_it() -> None:
     request = AttemptedRequest(PLAIN, IDEMPOTENT, [None])
     assert not request.may_send(110.0)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import json
+import math
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
@@ -67,6 +68,9 @@
             return actions
         return self._next_attempt(event)
 
+    def write_deadline_ms(self, _request_id: int, _attempt_number: int) -> float:
+        return math.inf
+
     def _next_attempt(self, event: Event) -> list[Action]:
         if isinstance(event, RequestArrived):
             return [Send(event.request, self.servers[0], self.timeout_ms)]
--- a/tests/streaming/harness.py
+++ b/tests/streaming/harness.py
@@ -50,6 +50,9 @@
         self.actions.extend(actions)
         return actions
 
+    def write_deadline_ms(self, request_id: int, attempt_number: int) -> float:
+        return self._balancer.write_deadline_ms(request_id, attempt_number)
+
     def events_of(self, kind: type[T]) -> list[T]:
         return [event for event in self.events if isinstance(event, kind)]
 
