No rejection promises a harmless retry after the servers forget the key

Cause: RetryRules.may_reject looked at the effect and the group of servers, never at the window, and the suggested wait was not part of the decision.

Change: a keyed request that may have run is rejected only if the retry that the rejection suggests comes inside the window; otherwise it fails (502). Stricter than the wire's rule, which names the group alone.

--- a/sandhatch/balancing/policy/balancer.py
+++ b/sandhatch/balancing/policy/balancer.py
@@ -284,23 +284,29 @@
             self.requests.pop(request.id, None)
 
     def _give_up(self, request: Request) -> None:
-        """Send the final response of a request that will not be served.
-
-        The suggested wait before a retry is about the time until servers are free, if a response can still
-        meet the objective after it; otherwise it is the longest wait that clients respect.
-        """
-        if self.retry_rules.may_reject(request):
-            mean_ms = self.latency.mean_ms[request.class_index]
-            # Many requests may be rejected at the same time: jitter spreads their retries. Where
-            # `max_retry_after_ms` is suggested instead, the wait has no jitter.
-            wait_ms = mean_ms * (0.75 + 0.5 * self.rng.random())
-            if self.now_ms + wait_ms + mean_ms > request.objective_deadline_ms:
-                wait_ms = self.settings.max_retry_after_ms
-            self.actions.append(Reject(request.id, min(wait_ms, self.settings.max_retry_after_ms)))
+        """Send the final response of a request that will not be served."""
+        rejectable = self.retry_rules.may_reject(request, self.now_ms)
+        wait_ms = self._retry_after_ms(request) if rejectable else 0.0
+        if rejectable and self.retry_rules.may_reject(request, self.now_ms + wait_ms):
+            self.actions.append(Reject(request.id, wait_ms))
         else:
             self.actions.append(Fail(request.id))
         self._finish(request)
 
+    def _retry_after_ms(self, request: Request) -> float:
+        """Return the wait before a retry to suggest to the client of a rejected request.
+
+        It is about the time until servers are free, if a response can still meet the objective after it;
+        otherwise it is the longest wait that clients respect.
+        """
+        mean_ms = self.latency.mean_ms[request.class_index]
+        # Many requests may be rejected at the same time: jitter spreads their retries. Where
+        # `max_retry_after_ms` is suggested instead, the wait has no jitter.
+        wait_ms = mean_ms * (0.75 + 0.5 * self.rng.random())
+        if self.now_ms + wait_ms + mean_ms > request.objective_deadline_ms:
+            wait_ms = self.settings.max_retry_after_ms
+        return min(wait_ms, self.settings.max_retry_after_ms)
+
     # ------------------------------------------------ exceptions to the draw
 
     def _draw_by_exception(self, request: Request) -> Server | None:
--- a/sandhatch/balancing/policy/retry_rules.py
+++ b/sandhatch/balancing/policy/retry_rules.py
@@ -75,15 +75,22 @@
             attempt.zone == server.zone and (any_cell or attempt.cell == server.cell) for attempt in ran
         )
 
-    def may_reject(self, request: Request) -> bool:
-        """Return whether a rejection is allowed, which tells the client that a retry does no harm."""
+    def may_reject(self, request: Request, retry_ms: float) -> bool:
+        """Return whether a rejection is allowed, which tells the client that a retry does no harm.
+
+        Args:
+            request: The request to reject.
+            retry_ms: Time of the client's retry.
+        """
         if request.done:
             return False
         request_class = request.request_class
-        if request_class.effect is Effect.IDEMPOTENT or not self.may_have_run(request):
+        ran = self.may_have_run(request)
+        if request_class.effect is Effect.IDEMPOTENT or not ran:
             return True
         is_keyed = request_class.effect is Effect.IDEMPOTENT_WITH_KEY
-        return is_keyed and request_class.deduplication_scope is DeduplicationScope.ALL
+        any_server = request_class.deduplication_scope is DeduplicationScope.ALL
+        return is_keyed and any_server and retry_ms < self._deduplication_end_ms(request_class, ran)
 
 
 @dataclass
--- a/tests/balancing/driver.py
+++ b/tests/balancing/driver.py
@@ -187,6 +187,10 @@
             is_idempotent = request_class.effect is Effect.IDEMPOTENT or (
                 request_class.effect is Effect.IDEMPOTENT_WITH_KEY
                 and request_class.deduplication_scope is DeduplicationScope.ALL
+                and all(
+                    self.now + action.wait_ms < attempt.sent_ms + request_class.deduplication_ms
+                    for attempt in ran
+                )
             )
             assert is_idempotent or not ran, "rejected although it may have run"
         elif isinstance(action, Fail):
--- a/tests/balancing/policy/test_retry_rules.py
+++ b/tests/balancing/policy/test_retry_rules.py
@@ -5,7 +5,7 @@
 import math
 from dataclasses import replace
 
-from sandhatch.balancing.actions import Fail, Send
+from sandhatch.balancing.actions import Fail, Reject, Send
 from sandhatch.balancing.events import (
     ListKind,
     Outcome,
@@ -75,9 +75,9 @@
         """Return whether the rules allow a further attempt at the server."""
         return self._rules.may_send(self._request, self._server, now_ms)
 
-    def may_reject(self) -> bool:
-        """Return whether the rules allow a rejection."""
-        return self._rules.may_reject(self._request)
+    def may_reject(self, retry_ms: float = 110.0) -> bool:
+        """Return whether the rules allow a rejection after which the client retries at this time."""
+        return self._rules.may_reject(self._request, retry_ms)
 
     def write_deadline_ms(self, attempt_number: int) -> float:
         """Return the time before which the request of an attempt must be written."""
@@ -128,6 +128,33 @@
         assert request.may_reject()
 
 
+def test_keyed_request_is_not_rejected_if_the_client_would_retry_after_its_key_is_forgotten() -> None:
+    # Guards against a rejection that has the client repeat, without harm as it is told, what has run.
+    keyed = replace(KEYED, deadline_ms=5000.0, deduplication_scope=DeduplicationScope.ALL)
+    request = AttemptedRequest(PLAIN, keyed, [Outcome.ERROR])
+    assert request.may_reject(390.0)
+    assert not request.may_reject(400.0)
+    assert AttemptedRequest(PLAIN, keyed, [Outcome.FULL]).may_reject(4000.0)
+
+
+def test_suggested_wait_of_a_keyed_request_ends_before_its_key_is_forgotten() -> None:
+    # Guards against a Retry-After beyond the window, inside of which the rejection itself is allowed.
+    for deduplication_ms, expected in ((300.0, Fail), (30_000.0, Reject)):
+        keyed = RequestClass(
+            5000.0,
+            5000.0,
+            Effect.IDEMPOTENT_WITH_KEY,
+            deduplication_scope=DeduplicationScope.ALL,
+            deduplication_ms=deduplication_ms,
+        )
+        driver = Driver(replace(PLAIN, classes=(keyed,), max_attempts=1, max_retry_after_ms=1000.0), 1)
+        driver.update_list(ListKind.FULL, (ServerEntry(1),))
+        driver.request()
+        driver.advance(250.0)
+        (action,) = driver.end_attempt(1, 0, Outcome.ERROR)
+        assert isinstance(action, expected)
+
+
 def test_number_of_attempts_is_limited_by_max_attempts() -> None:
     request = AttemptedRequest(PLAIN, IDEMPOTENT, [Outcome.RESET] * 4)
     assert not request.may_send(110.0)
