A request accepted only in part is not completed once it may no longer be written

Change: while the kernel has not accepted all, the checks of client and window are made again each 50 ms (a client's leaving counts after 0.1 s); a draining server's grace covers the first byte and is not checked again. An attempt that may have run goes on.

Shown with small socket buffers alone, never seen in service: with the system's own buffers, 64 KiB are accepted at once on loopback.

--- a/sandhatch/dispatch/attempts.py
+++ b/sandhatch/dispatch/attempts.py
@@ -64,17 +64,18 @@
         request.length = message.length
         return request
 
-    def blocked_by(self) -> Outcome | None:
+    def blocked_by(self, begun: bool) -> Outcome | None:
         """Return DISCARDED if the request may no longer be written, else None.
 
-        This is so once the exchange is closed, the server's drain grace period is over or the attempt's write
-        deadline has passed. An exchange whose client has disconnected is closed first.
+        This is so once the exchange is closed, the attempt's write deadline has passed or, before the first
+        byte, the server's drain grace period is over. An exchange whose client has disconnected is closed
+        first.
         """
         runner = self.runner
         runner.close_if_client_disconnected(self.exchange)
         blocked = (
             self.exchange.closed
-            or runner.connection_pool.has_drain_grace_expired(self.server)
+            or (not begun and runner.connection_pool.has_drain_grace_expired(self.server))
             or runner.clock.now_ms() >= runner.write_deadline_ms(self.exchange.number, self.attempt_number)
         )
         return Outcome.DISCARDED if blocked else None
@@ -116,9 +117,10 @@
         """Return the probe's request, which, unlike an attempt's, has no header with the remaining time."""
         return self.request
 
-    def blocked_by(self) -> Outcome | None:
-        """Return DISCARDED if the server's drain grace period is over, else None."""
-        return Outcome.DISCARDED if self.runner.connection_pool.has_drain_grace_expired(self.server) else None
+    def blocked_by(self, begun: bool) -> Outcome | None:
+        """Return DISCARDED if the server's drain grace period is over before the first byte, else None."""
+        expired = not begun and self.runner.connection_pool.has_drain_grace_expired(self.server)
+        return Outcome.DISCARDED if expired else None
 
     def on_response_started(
         self,
--- a/sandhatch/upstream/connection.py
+++ b/sandhatch/upstream/connection.py
@@ -180,9 +180,16 @@
         self._transport.write(data)
         if self._transport.get_write_buffer_size():
             self._update_usage(self._parser.buffered_bytes)
+            self._pool.schedule_unsent_check(partial(self._check_unsent, self._attempt))
         elif not self._withheld_byte:
             self._attempt.sent_enough_to_run = True
 
+    def _check_unsent(self, attempt: Attempt) -> None:
+        """End an attempt whose request is not accepted completely yet and may no longer be written."""
+        waits = self._attempt is attempt and not attempt.may_have_run
+        if waits and attempt.may_be_written(begun=True):
+            self._pool.schedule_unsent_check(partial(self._check_unsent, attempt))
+
     def _move_to_new_connection(self, attempt: Attempt) -> None:
         """Have the pool send the attempt's request on a new connection; no server has received all of it."""
         self._withheld_byte = b""
--- a/sandhatch/upstream/connection_pool.py
+++ b/sandhatch/upstream/connection_pool.py
@@ -59,6 +59,9 @@
     # run and can be sent on a new connection, even if it is non-idempotent and could not be retried after a
     # reset.
     LAST_BYTE_DELAY_MS = 2.0
+    # Time between two checks whether a request that the kernel accepts only in part may still be written; no
+    # request may arrive later than 0.1 s after its client has disconnected.
+    UNSENT_CHECK_INTERVAL_MS = 50.0
     CONNECT_MARGIN_MS = 100.0  # subtracted from the drain grace period, for endpoint lists read late
     # Upper limit of the time by which a connection is closed before the server's idle timeout.
     IDLE_MARGIN_MS = 5_000.0
@@ -163,6 +166,10 @@
         """Schedule a callback for the time when a withheld last byte is due."""
         self.clock.call_after(self.LAST_BYTE_DELAY_MS, callback)
 
+    def schedule_unsent_check(self, callback: Callable[[], None]) -> None:
+        """Schedule a callback that checks a request of which only a part was accepted by the kernel."""
+        self.clock.call_after(self.UNSENT_CHECK_INTERVAL_MS, callback)
+
     def start_on_new_connection(self, attempt: Attempt) -> None:
         """Open a connection and write an attempt's request to the connection.
 
--- a/tests/upstream/test_outcomes.py
+++ b/tests/upstream/test_outcomes.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any
 
 import pytest
@@ -219,6 +220,30 @@
         run(scenario(listener))
 
 
+def test_request_accepted_in_part_is_not_completed_after_its_client_has_left() -> None:
+    """Guards against a request that arrives at a server long after its client has disconnected."""
+
+    async def scenario(listener: socket.socket) -> None:
+        script = ScriptedBalancer([1])
+        async with loopback(script=script, entries=(entry("a", listening_port(listener)),)) as network:
+            loop = asyncio.get_running_loop()
+            shrink_send_buffers(network.pool)
+            network.client.send_request("move", b"x" * 60_000)
+            connection, _ = await loop.sock_accept(listener)
+            await wait_until(lambda: network.pool._open, "a part of the request is written")
+            network.client.writer.close()
+            assert (await script.next_attempt_end()).outcome is Outcome.DISCARDED
+            received_bytes = 0
+            with suppress(ConnectionResetError):
+                while data := await loop.sock_recv(connection, 65_536):
+                    received_bytes += len(data)
+            assert received_bytes < 60_000
+            connection.close()
+
+    with listener_with_small_buffer() as listener:
+        run(scenario(listener))
+
+
 async def attempt_in_flight(pool: ConnectionPool) -> Attempt:
     """Wait for an attempt on the pool's only connection, and return it."""
     await wait_until(lambda: pool._open and next(iter(pool._open))._attempt)
