An attempt is not written to a process that started after it was decided

If the server restarts while the connection comes up (up to ConnectTimeoutMs), the request was written to the new process, or to the old address, without slow start.

Change: once a connection is up, it must lead to the process that the endpoint list names now; else the attempt ends as DISCARDED, which proves that it never ran, and is decided anew. Only for a ready server: a draining one keeps its grace.

--- a/sandhatch/upstream/connection.py
+++ b/sandhatch/upstream/connection.py
@@ -249,6 +249,11 @@
         transport = self._transport
         return transport is not None and not transport.is_closing() and not self._socket_poll.poll(0)
 
+    @property
+    def leads_to_listed_process(self) -> bool:
+        """Whether the endpoint list still names the process to which the connection was opened."""
+        return self.server.address == self.address and self.server.started_ms == self.started_ms
+
     def abort(self) -> None:
         """Close the connection at once."""
         if self._transport is not None and not self._transport.is_closing():
--- a/sandhatch/upstream/connection_pool.py
+++ b/sandhatch/upstream/connection_pool.py
@@ -197,6 +197,11 @@
             self.on_connection_closed(connection)
             connection.abort()
             attempt.end(Outcome.CONNECT_FAILED)
+        elif connection.server.state is ServerState.READY and not connection.leads_to_listed_process:
+            # The server has restarted meanwhile: its new process may be warming up, and the attempt was not
+            # decided for it.
+            connection.abort()
+            attempt.end(Outcome.DISCARDED)
         elif not attempt.write(connection):
             self.put(connection)
 
@@ -223,12 +228,8 @@
     def put(self, connection: ServerConnection) -> None:
         """Cache an idle connection for reuse, or close it if it no longer leads to a ready server."""
         server = connection.server
-        leads_to_server = (
-            self.servers.get(server.number) is server
-            and server.address == connection.address
-            and server.started_ms == connection.started_ms
-        )
-        if not leads_to_server or connection not in self._open or server.state is not ServerState.READY:
+        is_listed = self.servers.get(server.number) is server and connection.leads_to_listed_process
+        if not is_listed or connection not in self._open or server.state is not ServerState.READY:
             connection.abort()
             return
         connection.idle_since_ms = self.clock.now_ms()
--- a/tests/race_conditions/test_reused_connections.py
+++ b/tests/race_conditions/test_reused_connections.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import socket
+from asyncio import BaseTransport
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
-from sandhatch.balancing.events import Outcome
+import pytest
+
+from sandhatch.balancing.events import Outcome, ServerState
 from sandhatch.upstream.connection import ServerConnection
 from testkit.behaviours import echoes_target
 from testkit.clients import HttpClient
@@ -116,6 +119,33 @@
     run(scenario())
 
 
+def test_attempt_is_not_written_to_the_successor_of_the_process_for_which_it_was_decided(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against sends to a process that warms up, by attempts that were decided before it started and
+    whose connections come up late.
+    """
+
+    async def scenario() -> None:
+        upstream = FakeServer(echoes_target)
+        script = ScriptedBalancer([1, 1])
+        async with balancer_in_front_of(upstream, script) as balancer, HttpClient(balancer.port) as client:
+            pool = balancer.dispatcher.connection_pool
+            connection_made = ServerConnection.connection_made
+
+            def restart_while_connecting(connection: ServerConnection, transport: BaseTransport) -> None:
+                connection_made(connection, transport)
+                pool.update(1, connection.address, ServerState.READY, 1_000.0, 0.0)
+
+            monkeypatch.setattr(ServerConnection, "connection_made", restart_while_connecting)
+            client.send_request("move", b"x", "/api?1")
+            assert (await client.read_response()).body == b"/api?1"
+        assert [event.outcome for event in script.attempt_ends()] == [Outcome.DISCARDED, Outcome.OK]
+        assert len(upstream.requests) == 1
+
+    run(scenario())
+
+
 def test_connection_closed_before_the_last_byte_is_written_is_not_used() -> None:
     """Guards against writing a request's last byte when the kernel has the server's end of stream, unread: if
     the byte were written, a non-idempotent request might have run and could not be retried.
