Complete responses without a length are forwarded; a reset is no end of them

Cause: ResponseParser had no way to be told of the end of the stream, and ServerConnection.eof_received failed the attempt like a reset.

Evidence: with a print in both callbacks, an orderly end comes as eof_received, a reset as connection_lost with ECONNRESET, also unread behind data. But the kernel reports the error of a reset once: after a write has received it, a read finds an end of stream.

Change: end_stream completes such a response, buffered or streamed, at an orderly end: all of the request was sent, and the socket shows neither POLLERR nor POLLHUP. Lists from discovery likewise, which had the same fault.

--- a/sandhatch/discovery/connection.py
+++ b/sandhatch/discovery/connection.py
@@ -9,6 +9,7 @@
 from typing import cast
 
 from sandhatch.discovery.errors import DiscoveryError
+from sandhatch.http1.events import Event
 from sandhatch.http1.message import Message
 from sandhatch.http1.parser import ResponseParser
 from sandhatch.http1.serializer import encode_request
@@ -41,7 +42,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Complete the pending call, and close the connection if it can't carry another call."""
-        responses = [event for event in self._parser.feed(data) if isinstance(event, Message)]
+        self._on_events(self._parser.feed(data))
+
+    def _on_events(self, events: list[Event]) -> None:
+        responses = [event for event in events if isinstance(event, Message)]
         has_rest = self._parser.fault is not None or self._parser.has_partial_message
         pending_response = self._pending_response
         if responses and pending_response is not None and not pending_response.done():
@@ -52,7 +56,8 @@
             self.close()
 
     def eof_received(self) -> None:
-        """Close the connection: no further response can be received on a half-closed one."""
+        """Complete a response that only the end of the stream delimits; then close the connection."""
+        self._on_events(self._parser.end_stream())
         self.close()
 
     def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002 - part of the protocol
--- a/sandhatch/http1/parser.py
+++ b/sandhatch/http1/parser.py
@@ -10,9 +10,12 @@
 import httptools
 
 from sandhatch.http1.errors import FramingError
+from sandhatch.http1.events import Event
 from sandhatch.http1.limits import MAX_REQUEST_BODY_BYTES, MAX_RESPONSE_BODY_BYTES
 from sandhatch.http1.message_parser import MessageParser
 
+STATUSES_WITHOUT_BODY = frozenset((204, 304))
+
 
 class RequestParser(MessageParser):
     """Parses requests.
@@ -57,8 +60,8 @@
 class ResponseParser(MessageParser):
     """Parses responses.
 
-    A response that is delimited only by the close of the connection never completes, because it cannot be
-    distinguished from a truncated one.
+    A response with neither a length nor chunks is complete when the server ends the stream in order
+    (`end_stream`). After a reset it stays incomplete.
     """
 
     _parser: httptools.HttpResponseParser | None
@@ -74,14 +77,31 @@
         return httptools.HttpResponseParser(self)
 
     def on_headers_complete(self) -> None:
-        """Complete the head, and announce the body if it is delimited by a length or by chunks."""
+        """Complete the head, and announce the body if there is one."""
         super().on_headers_complete()
         assert self._parser is not None
         message = self._message
         message.status = self._parser.get_status_code()
-        if message.length is not None or message.values(b"transfer-encoding"):
+        if message.status >= 200 and message.status not in STATUSES_WITHOUT_BODY:
             self._announce_body()
 
+    def end_stream(self) -> list[Event]:
+        """Handle the orderly end of the server's stream; nothing may be fed afterwards.
+
+        Returns:
+            The response, or the end of its opened body, if only the end of the stream delimits the body
+            (RFC 9112 section 6.3); nothing if the response is incomplete.
+        """
+        message = self._message
+        is_delimited = message.length is not None or message.values(b"transfer-encoding")
+        if is_delimited or not self.is_in_body:
+            return []
+        events: list[Event] = []
+        self._events = events
+        self.on_message_complete()
+        self._events = []
+        return events
+
     def on_message_complete(self) -> None:
         """Add the response, or the end of its body, to the events; interim responses (1xx) are skipped."""
         if self._message.status >= 200:
--- a/sandhatch/upstream/connection.py
+++ b/sandhatch/upstream/connection.py
@@ -107,7 +107,14 @@
                 self._start_streaming(attempt)
 
     def eof_received(self) -> None:
-        """Abort the connection: no further response can arrive once the server has closed its side."""
+        """Complete a response that only the end of the stream delimits; then close the connection."""
+        attempt = self._attempt
+        if attempt is not None and self._is_request_complete(attempt) and not self._is_reset():
+            events = self._parser.end_stream()
+            if self._response_state is STREAMING:
+                self._on_streamed_events(attempt, events)
+            elif events:
+                self._on_complete_responses(attempt, cast(list[Message], events))
         self.abort()
         self._fail_attempt()
 
@@ -119,6 +126,14 @@
         self._stop_receiving()
         self._fail_attempt()
 
+    def _is_reset(self) -> bool:
+        """Whether the connection was reset, though the event loop has reported an end of stream.
+
+        The kernel reports the error of a reset once: if a write receives it, the next read finds an end of
+        stream. After an orderly end neither flag is set, since this side never ends its sending.
+        """
+        return any(events & (select.POLLERR | select.POLLHUP) for _, events in self._socket_poll.poll(0))
+
     def _fail_attempt(self) -> None:
         attempt = self._attempt
         if attempt is None:
--- a/sandhatch/upstream/response_receiver.py
+++ b/sandhatch/upstream/response_receiver.py
@@ -235,6 +235,10 @@
         self.resume()  # the flow may have paused reading at the last piece
         self._end_attempt(attempt, response, reusable)
 
+    def _is_request_complete(self, attempt: Attempt) -> bool:
+        """Whether all of the request was sent."""
+        return attempt.sent_enough_to_run and (attempt.flow is None or attempt.flow.sent)
+
     def _detach_attempt(self, attempt: Attempt, nothing_follows: bool) -> bool:
         """Detach an attempt whose response is complete.
 
@@ -250,7 +254,7 @@
             Whether the connection can carry another attempt.
         """
         parser = self._parser
-        request_complete = attempt.sent_enough_to_run and (attempt.flow is None or attempt.flow.sent)
+        request_complete = self._is_request_complete(attempt)
         self._attempt = None
         self._socket_writer = None
         if attempt.flow is not None:
--- a/testkit/discovery.py
+++ b/testkit/discovery.py
@@ -34,6 +34,7 @@
         entries: Current entries, by instance id.
         calls: Queue of the targets of all requests.
         raw_responses: Raw responses that replace regular responses, one per request.
+        closes_after_raw_response: Whether the connection is closed after each raw response.
         delay_s: Delay of each complete list, in seconds.
         silent: Whether watches get no response.
     """
@@ -45,6 +46,7 @@
         self.entries = {entry["instanceId"]: entry for entry in entries}
         self.calls: asyncio.Queue[str] = asyncio.Queue()
         self.raw_responses: list[bytes] = []
+        self.closes_after_raw_response = False
         self.delay_s = 0.0
         self.silent = False
         self._changes: list[PublishedChange] = []
@@ -79,6 +81,9 @@
                 self.calls.put_nowait(target)
                 if self.raw_responses:
                     writer.write(self.raw_responses.pop(0))
+                    if self.closes_after_raw_response:
+                        writer.close()
+                        return
                     continue
                 endpoint_list = await (self._delta(target) if "after=" in target else self._full_list())
                 writer.write(ok(json.dumps(endpoint_list).encode()))
--- a/testkit/servers.py
+++ b/testkit/servers.py
@@ -7,10 +7,12 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from typing import Any
 
+from sandhatch.downstream.client_transport import RESET_ON_CLOSE
 from testkit.listening import ListeningFake
 from testkit.platform import entry
 from testkit.wire import ReceivedRequest, ok, read_head
@@ -30,7 +32,9 @@
         await self.writer.drain()
 
     def reset(self) -> None:
-        """Aborts the connection immediately, discarding unsent bytes."""
+        """Closes the connection with a TCP reset, discarding unsent bytes."""
+        connection = self.writer.get_extra_info("socket")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         self.writer.transport.abort()
 
     async def ended(self) -> None:
--- a/tests/discovery/test_client.py
+++ b/tests/discovery/test_client.py
@@ -145,6 +145,24 @@
     run(scenario())
 
 
+def test_list_without_a_length_is_complete_at_the_orderly_end_of_its_connection() -> None:
+    """Guards against the loss of a list that only discovery's close ends."""
+
+    async def scenario() -> None:
+        script = ScriptedBalancer([1])
+        async with loopback(serve_ok, serve_ok, clients=0, script=script) as network:
+            await next_call(network.balancer, "after=")
+            discovery = network.balancer.discovery
+            only_b = {"generation": 9, "reset": True, "instances": [network.servers[1].entry("b")]}
+            discovery.raw_responses.append(b"HTTP/1.1 200 OK\r\n\r\n" + json.dumps(only_b).encode())
+            discovery.closes_after_raw_response = True
+            discovery.generation = 9
+            discovery.wake()
+            assert server_numbers(await next_update(script, ListKind.FULL)) == [2]
+
+    run(scenario())
+
+
 def test_generation_that_goes_back_causes_a_fetch_of_the_complete_list() -> None:
     """Guards against applying changes to the wrong list, after discovery restarts its generation count."""
 
--- a/tests/race_conditions/harness.py
+++ b/tests/race_conditions/harness.py
@@ -20,12 +20,15 @@
 from sandhatch.balancing.events import ClientDisconnected, Event
 from sandhatch.dispatch.protocols import BalancerProtocol
 from sandhatch.downstream.client_connection import ClientConnection
+from sandhatch.upstream.connection import ServerConnection
 from sandhatch.upstream.connection_pool import ConnectionPool
 from testkit.behaviours import waits_for
+from testkit.clients import HttpClient
+from testkit.platform import entry
 from testkit.polling import wait_until
 from testkit.servers import Behaviour, FakeServer, serve_ok
 from testkit.wire import RESPONSE_TIMEOUT_S
-from tests.fakes import RunningBalancer, running
+from tests.fakes import RunningBalancer, ScriptedBalancer, running
 
 TCP_FIN_WAIT2 = 5  # the peer's kernel has acknowledged the FIN; from Linux's include/net/tcp_states.h
 
@@ -161,3 +164,39 @@
         assert part, received
         received += part
     return received
+
+
+@dataclass
+class ManualServerSetup:
+    """A client, the scripted balancer, and the listening socket of a server whose role the test takes."""
+
+    listener: socket.socket
+    script: ScriptedBalancer
+    balancer: RunningBalancer
+    client: HttpClient
+
+
+@asynccontextmanager
+async def balancer_in_front_of_manual_server() -> AsyncIterator[ManualServerSetup]:
+    """Runs the balancer between a client and a server whose bytes the test sends itself."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    listener.settimeout(RESPONSE_TIMEOUT_S)
+    script = ScriptedBalancer([1])
+    async with (
+        running(entry("a", listener.getsockname()[1]), script=script) as balancer,
+        HttpClient(balancer.port) as client,
+    ):
+        yield ManualServerSetup(listener, script, balancer, client)
+    listener.close()
+
+
+def only_server_connection(balancer: RunningBalancer) -> ServerConnection:
+    """Returns the balancer's end of the only connection to a server."""
+    (connection,) = balancer.dispatcher.connection_pool._open
+    return connection
+
+
+def balancer_descriptor(connection: ServerConnection) -> int:
+    """Returns the file descriptor of the balancer's end of a connection to a server."""
+    assert connection._transport is not None
+    return int(connection._transport.get_extra_info("socket").fileno())
--- a/tests/race_conditions/test_reused_connections.py
+++ b/tests/race_conditions/test_reused_connections.py
@@ -2,11 +2,7 @@
 
 from __future__ import annotations
 
-import socket
 from asyncio import BaseTransport
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
-from dataclasses import dataclass
 
 import pytest
 
@@ -14,60 +10,26 @@
 from sandhatch.upstream.connection import ServerConnection
 from testkit.behaviours import echoes_target
 from testkit.clients import HttpClient
-from testkit.platform import entry
 from testkit.polling import wait_until
 from testkit.servers import FakeServer
-from testkit.wire import RESPONSE_TIMEOUT_S, ok
+from testkit.wire import ok
 from tests.event_loop import run
-from tests.fakes import RunningBalancer, ScriptedBalancer, running
+from tests.fakes import ScriptedBalancer
 from tests.race_conditions.harness import (
     DelayedResponseServer,
     LastByteBarrier,
     accept_request,
+    balancer_descriptor,
     balancer_in_front_of,
+    balancer_in_front_of_manual_server,
     block_until_readable,
     block_until_reset,
+    only_server_connection,
     reset,
     wait_until_requested,
 )
 
 
-@dataclass
-class ManualServerSetup:
-    """A client, the scripted balancer, and the listening socket of a server whose role the test takes."""
-
-    listener: socket.socket
-    script: ScriptedBalancer
-    balancer: RunningBalancer
-    client: HttpClient
-
-
-@asynccontextmanager
-async def balancer_in_front_of_manual_server() -> AsyncIterator[ManualServerSetup]:
-    """Runs the balancer between a client and a server whose bytes the test sends itself."""
-    listener = socket.create_server(("127.0.0.1", 0))
-    listener.settimeout(RESPONSE_TIMEOUT_S)
-    script = ScriptedBalancer([1])
-    async with (
-        running(entry("a", listener.getsockname()[1]), script=script) as balancer,
-        HttpClient(balancer.port) as client,
-    ):
-        yield ManualServerSetup(listener, script, balancer, client)
-    listener.close()
-
-
-def only_server_connection(balancer: RunningBalancer) -> ServerConnection:
-    """Returns the balancer's end of the only connection to a server."""
-    (connection,) = balancer.dispatcher.connection_pool._open
-    return connection
-
-
-def balancer_descriptor(connection: ServerConnection) -> int:
-    """Returns the file descriptor of the balancer's end of a connection to a server."""
-    assert connection._transport is not None
-    return int(connection._transport.get_extra_info("socket").fileno())
-
-
 def test_surplus_response_before_the_last_byte_is_written_goes_to_no_other_request() -> None:
     """Guards against passing a surplus response to the next request if it arrives after the connection was
     found idle and before the next request is written completely.
--- a/tests/streaming/test_server_failures.py
+++ b/tests/streaming/test_server_failures.py
@@ -64,6 +64,29 @@
     run(scenario())
 
 
+def test_reset_of_a_streamed_response_without_a_length_is_not_its_end() -> None:
+    # Guards against a reset that is taken for the orderly end of a response which nothing else delimits.
+    async def serve(request: StreamedRequest) -> None:
+        await request.connection.send(head("HTTP/1.1 200 OK"))
+        await send_all(request.connection, SeededBody(2).pieces(MIB))
+        await forwarded.wait()
+        request.connection.reset()
+
+    async def scenario() -> None:
+        async with deployed(serve) as deployment, HttpClient(deployment.port) as client:
+            client.send(download_head())
+            response = await read_response_head(client)
+            assert response.status == 200
+            forwarded.set()
+            assert b"\r\n0\r\n" not in await client.read_to_end()
+            await deployment.wait_until_idle()
+            assert deployment.decisions.outcomes == [Outcome.RESET]
+            assert [record.truncated_by for record in deployment.records] == ["server"]
+
+    forwarded = asyncio.Event()
+    run(scenario())
+
+
 def http_1_0_download_head() -> bytes:
     return download_head().replace(b"HTTP/1.1", b"HTTP/1.0")
 
--- a/tests/streaming/test_streamed_bodies.py
+++ b/tests/streaming/test_streamed_bodies.py
@@ -9,7 +9,7 @@
 from sandhatch.balancing.events import AnswerStarted, Outcome
 from testkit.bodies import Body, SeededBody, chunked, head
 from testkit.clients import HttpClient
-from testkit.streaming_server import StreamedRequest
+from testkit.streaming_server import StreamedRequest, send_all
 from testkit.wire import ok
 from tests.streaming.harness import (
     BODY,
@@ -65,6 +65,27 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("size", [0, 1000, MIB])
+def test_response_without_a_length_is_complete_at_the_orderly_end_of_its_connection(size: int) -> None:
+    # Guards against the loss of complete responses, short or streamed, that only the server's close ends.
+    async def serve(request: StreamedRequest) -> None:
+        await request.connection.send(head("HTTP/1.1 200 OK"))
+        await send_all(request.connection, SeededBody(2).pieces(size))
+        request.connection.writer.close()
+
+    async def scenario() -> None:
+        async with deployed(serve) as deployment, HttpClient(deployment.port) as client:
+            client.send(download_head())
+            status, body = await read_response(client)
+            assert (status, body.size, body.crc) == (200, size, SeededBody(2).crc(size))
+            assert body.complete
+            await deployment.wait_until_idle()
+            assert deployment.decisions.outcomes == [Outcome.OK]
+            assert [record.truncated_by for record in deployment.records] == [""]
+
+    run(scenario())
+
+
 def test_trailers_are_forwarded_except_forbidden_ones() -> None:
     received_trailers: list[dict[str, str]] = []
 
