--- a/sandhatch/balancing/policy/balancer.py
+++ b/sandhatch/balancing/policy/balancer.py
@@ -3,12 +3,14 @@
 The common path is the PULL policy (Stolyar) in its single-token form: a request goes to a server drawn
 uniformly from the token holders, which are the ready servers without an outstanding attempt of this instance,
 except those whose token is withheld or removed for a probe. If no server holds a token, the request goes to a
-uniformly random ready server. The common path comes first in this module; the exceptions to it follow, each
-with its condition.
+uniformly random ready server. `server_draw` has the draw, with the exceptions to it. Here, the common path
+comes first; time-outs, retries and queuing follow.
 """
 
 import math
+from collections.abc import Callable
 from random import Random
+from typing import Any
 
 from sandhatch.balancing import events
 from sandhatch.balancing.actions import Action, CloseIdle, Fail, Probe, Reject, Send, SetTimer
@@ -17,13 +19,13 @@
 from sandhatch.balancing.events import NEUTRAL_OUTCOMES, NEVER_RAN, Event, ListKind, Outcome
 from sandhatch.balancing.guidance.shared_ramp import SharedRamp
 from sandhatch.balancing.guidance.state import GuidanceState
-from sandhatch.balancing.indexed_set import IndexedSet, draw_uniformly
 from sandhatch.balancing.policy.admission_control import AdmissionControl
 from sandhatch.balancing.policy.connection_reuse import ConnectionReuse
 from sandhatch.balancing.policy.latency_estimates import InterarrivalTime, LatencyEstimates
 from sandhatch.balancing.policy.outlier_detection import SLOW_FACTOR, OutlierDetection
 from sandhatch.balancing.policy.probing import BUSY_PAUSE_FRACTION, IDLE_THRESHOLD, Probing
 from sandhatch.balancing.policy.retry_rules import RetryBudget, RetryRules
+from sandhatch.balancing.policy.server_draw import ServerDraw
 from sandhatch.balancing.policy.servers import ServerList
 from sandhatch.balancing.policy.slow_start import SlowStart
 from sandhatch.balancing.policy.tenant_quotas import TenantQuotas
@@ -31,7 +33,6 @@
 from sandhatch.balancing.records import Attempt, Request, Server
 from sandhatch.balancing.settings import Effect, Settings
 
-MAX_DRAWS = 8  # maximum draws from a set of servers until retry rules and slow start allow one
 # Minimum time left for an attempt, as a fraction of the mean latency. Prevents work whose result comes
 # too late to be used, and time-outs that count as failures of servers which had no time to respond.
 MIN_TIME_LEFT_FRACTION = 0.25
@@ -68,9 +69,22 @@
         self.outliers = OutlierDetection(self.rng, self.server_list, self.latency, self.interarrival)
         self.zone_routing = ZoneRouting(settings, self.rng)
         self.probing = Probing(settings, self.rng)
-        # Maximum number of this instance's attempts in flight at a server that the current draw may choose.
-        self._per_server_limit = math.inf
-        self._handlers = {
+        self.server_draw = ServerDraw(
+            settings,
+            self.rng,
+            self.server_list,
+            self.retry_rules,
+            self.slow_start,
+            self.guidance_state,
+            self.connections,
+            self.admission,
+            self.zone_routing,
+        )
+        self._handlers = self._make_handlers()
+
+    def _make_handlers(self) -> dict[type, Callable[[Any], None]]:
+        """Return the handler of each type of event."""
+        return {
             events.RequestArrived: self._on_request,
             events.AttemptEnded: self._on_attempt_ended,
             events.TimerFired: self._on_timer,
@@ -99,7 +113,7 @@
         expired = self.connections.find_expired(now_ms)
         if expired is not None:
             self._close_connection(expired)
-        handler(event)  # type: ignore[operator]
+        handler(event)
         return self.actions
 
     def write_deadline_ms(self, request_id: int, attempt_number: int) -> float:
@@ -150,7 +164,7 @@
         if self.now_ms + self.settings.tick_ms >= request.objective_deadline_ms:
             self._give_up(request)
             return
-        server = self._draw(request)
+        server = self.server_draw.draw(request, self.now_ms)
         if server is None:
             self._queue(request)
         elif self.probing.is_worthwhile(request, self.latency.mean_ms[request.class_index], self.now_ms):
@@ -162,43 +176,6 @@
         else:
             self._send(request, server)
 
-    def _draw(self, request: Request) -> Server | None:
-        """Draw a server by the rule of an exception that applies, else by the PULL policy.
-
-        PULL draws uniformly from the servers with a token, else from all ready servers; in both cases servers
-        of the own zone come first if `ZoneRouting` prefers them. If a few draws find no server that is
-        allowed and not avoided, all allowed servers are considered. Returns None if there are none.
-        """
-        return (
-            self._draw_by_exception(request)
-            or self._draw_from(self.server_list.tokens, request)
-            or self._draw_from(self.server_list.ready, request)
-            or self._draw_any(request)
-        )
-
-    def _draw_from(self, zones: list[IndexedSet[Server]], request: Request) -> Server | None:
-        """Draw from all zones, but first from the own zone if `ZoneRouting` prefers it for this request."""
-        if self.zone_routing.prefers_own_zone(request):
-            server = self._draw_acceptable([zones[self.settings.own_zone]], request)
-            if server is not None:
-                return server
-        return self._draw_acceptable(zones, request)
-
-    def _draw_acceptable(self, sets: list[IndexedSet[Server]], request: Request) -> Server | None:
-        for _ in range(MAX_DRAWS):
-            server = draw_uniformly(sets, self.rng)
-            if server is None:
-                break
-            if self._may_draw(request, server) and not self._is_avoided(request, server):
-                return server
-        return None
-
-    def _may_draw(self, request: Request, server: Server) -> bool:
-        if server.outstanding + 1 > self._per_server_limit:
-            return False
-        allowed = self.retry_rules.may_send(request, server, self.now_ms)
-        return allowed and self.slow_start.admits(server, self.now_ms)
-
     def _send(self, request: Request, server: Server) -> None:
         if not self.retry_rules.may_send(request, server, self.now_ms):
             raise AssertionError("attempt dispatched although the retry rules forbid it")
@@ -307,72 +284,6 @@
             wait_ms = self.settings.max_retry_after_ms
         return min(wait_ms, self.settings.max_retry_after_ms)
 
-    # ------------------------------------------------ exceptions to the draw
-
-    def _draw_by_exception(self, request: Request) -> Server | None:
-        """Draw by another rule than the PULL policy if the condition of an exception holds, else None."""
-        loaded = self.admission.is_loaded(self.now_ms)
-        self._per_server_limit = self.admission.server_limit(self.now_ms) if loaded else math.inf
-        server = None
-        if self.connections.is_connecting_expensive:
-            # Exception while connecting is slow: servers with a token and an open connection are drawn first.
-            server = self._draw_connected(request)
-        if server is None and (loaded or self.server_list.is_oversubscribed):
-            # Exception while this instance has more attempts in flight than there are ready servers, so that
-            # its own counts show the load, or while much of its capacity is in use: the servers with the
-            # fewest own attempts are drawn.
-            server = self._draw_fewest(request)
-        return server
-
-    def _draw_connected(self, request: Request) -> Server | None:
-        for _ in range(MAX_DRAWS):
-            server = draw_uniformly([self.connections.connected], self.rng)
-            if server is None:
-                break
-            if server.has_token and self._may_draw(request, server):
-                return server
-        return None
-
-    def _draw_fewest(self, request: Request) -> Server | None:
-        """Draw uniformly from the healthy servers with the fewest own attempts.
-
-        Each consecutive failure counts as an attempt; otherwise a server that does not respond would keep
-        receiving its share of requests. Servers whose token (mark of a server believed idle) is withheld for
-        slowness are drawn too; otherwise all requests would pile up on the few other servers.
-        """
-        candidates: list[Server] = []
-        fewest = math.inf
-        zone = self.settings.own_zone if self.zone_routing.prefers_own_zone(request) else None
-        for server in self.server_list.iter_ready(zone):
-            count = server.outstanding + server.consecutive_failures
-            if count > fewest or server.failing_until_ms > self.now_ms or self._is_avoided(request, server):
-                continue
-            if not self._may_draw(request, server):
-                continue
-            if count < fewest:
-                candidates = []
-                fewest = count
-            candidates.append(server)
-        return candidates[int(self.rng.random() * len(candidates))] if candidates else None
-
-    def _draw_any(self, request: Request) -> Server | None:
-        """Draw uniformly from the allowed servers; avoided ones are drawn only if there are no others."""
-        allowed = [s for s in self.server_list.iter_ready() if self._may_draw(request, s)]
-        candidates = [s for s in allowed if not self._is_avoided(request, s)] or allowed
-        return candidates[int(self.rng.random() * len(candidates))] if candidates else None
-
-    def _is_avoided(self, request: Request, server: Server) -> bool:
-        """Return whether other servers are preferred for this request.
-
-        A server is avoided while it is ejected, while its circuit for the request's class is open, where
-        planners' weights decline it, or after it has failed an attempt of this request.
-        """
-        circuit = server.circuits.get(request.class_index)
-        failing = server.ejected or (circuit is not None and circuit.open_until_ms > self.now_ms)
-        if failing or self.guidance_state.is_passed_over(server.id, self.now_ms):
-            return True
-        return any(a.server is server and a.outcome is not Outcome.OK for a in request.attempts)
-
     # ------------------------------------------------ time-outs, retries and queuing
 
     def _objective_deadline_ms(self, request: Request, event: events.RequestArrived) -> float:
@@ -524,3 +435,5 @@
         self.slow_start = guidance_state.ramp or self.slow_start
         self.admission.guidance_state = self.guidance_state
         self.admission.slow_start = self.slow_start
+        self.server_draw.guidance_state = self.guidance_state
+        self.server_draw.slow_start = self.slow_start
--- a/sandhatch/dispatch/attempts.py
+++ b/sandhatch/dispatch/attempts.py
@@ -64,7 +64,7 @@
         request.length = message.length
         return request
 
-    def blocked_by(self, begun: bool) -> Outcome | None:
+    def blocked_by(self, partly_written: bool) -> Outcome | None:
         """Return DISCARDED if the request may no longer be written, else None.
 
         This is so once the exchange is closed, the attempt's write deadline has passed or, before the first
@@ -75,7 +75,7 @@
         runner.close_if_client_disconnected(self.exchange)
         blocked = (
             self.exchange.closed
-            or (not begun and runner.connection_pool.has_drain_grace_expired(self.server))
+            or (not partly_written and runner.connection_pool.has_drain_grace_expired(self.server))
             or runner.clock.now_ms() >= runner.write_deadline_ms(self.exchange.number, self.attempt_number)
         )
         return Outcome.DISCARDED if blocked else None
@@ -117,9 +117,9 @@
         """Return the probe's request, which, unlike an attempt's, has no header with the remaining time."""
         return self.request
 
-    def blocked_by(self, begun: bool) -> Outcome | None:
+    def blocked_by(self, partly_written: bool) -> Outcome | None:
         """Return DISCARDED if the server's drain grace period is over before the first byte, else None."""
-        expired = not begun and self.runner.connection_pool.has_drain_grace_expired(self.server)
+        expired = not partly_written and self.runner.connection_pool.has_drain_grace_expired(self.server)
         return Outcome.DISCARDED if expired else None
 
     def on_response_started(
--- a/sandhatch/upstream/attempt.py
+++ b/sandhatch/upstream/attempt.py
@@ -38,12 +38,13 @@
     def make_request(self) -> Message:
         """Return the request; called when it is written, since a header may state the time remaining then."""
 
-    def blocked_by(self, begun: bool) -> Outcome | None:
+    def blocked_by(self, partly_written: bool) -> Outcome | None:
         """Return the outcome that ends the attempt if its request may no longer be written, else None.
 
         Args:
-            begun: Whether a part of the request was written long ago. What then counts is only whether the
-                server may still receive the last byte: a draining server's grace covers the first one.
+            partly_written: Whether a part of the request was written long ago. What then counts is only
+                whether the server may still receive the last byte: a draining server's grace covers the first
+                one.
         """
 
     def on_response_started(self, attempt: Attempt, response: Message, reserved_bytes: int) -> Flow | None:
@@ -130,15 +131,15 @@
         connection.send(self, self.owner.make_request())
         return True
 
-    def may_be_written(self, begun: bool = False) -> bool:
+    def may_be_written(self, partly_written: bool = False) -> bool:
         """Check whether the request may still be written; end the attempt if it may not.
 
         Called before the first byte of the request, again before a withheld last byte, and repeatedly while
-        the kernel accepts no more of a request of which a part is written (`begun`).
+        the kernel accepts no more of a request of which a part is written (`partly_written`).
         """
         if self.owner is None:
             return False
-        blocked_by = self.owner.blocked_by(begun)
+        blocked_by = self.owner.blocked_by(partly_written)
         if blocked_by is not None:
             self.end(blocked_by)
         return blocked_by is None
--- a/sandhatch/upstream/connection.py
+++ b/sandhatch/upstream/connection.py
@@ -202,7 +202,7 @@
     def _check_unsent(self, attempt: Attempt) -> None:
         """End an attempt whose request is not accepted completely yet and may no longer be written."""
         waits = self._attempt is attempt and not attempt.may_have_run
-        if waits and attempt.may_be_written(begun=True):
+        if waits and attempt.may_be_written(partly_written=True):
             self._pool.schedule_unsent_check(partial(self._check_unsent, attempt))
 
     def _move_to_new_connection(self, attempt: Attempt) -> None:
