No circle of types in upstream: connections see their pool through an interface

Need: connection, response receiver, attempt and pool imported each other for types alone. Change: upstream/interfaces.py has what a connection uses of its pool (ConnectionOwner), attempt.py what an attempt uses of its connection (AttemptConnection); imports go one way: attempt, interfaces, receiver, connection, pool. No behaviour changed.

--- a/sandhatch/upstream/attempt.py
+++ b/sandhatch/upstream/attempt.py
@@ -19,18 +19,16 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol
 
 from sandhatch.balancing.events import Outcome
 from sandhatch.http1.message import Message
 from sandhatch.runtime.clock import Timer
 from sandhatch.streaming.flow import Flow
+from sandhatch.streaming.interfaces import Source
 from sandhatch.streaming.limits import StreamLimits
 from sandhatch.upstream.server import UpstreamServer
 
-if TYPE_CHECKING:
-    from sandhatch.upstream.connection import ServerConnection
-
 
 class AttemptOwner(Protocol):
     """The starter of an attempt: provides the request, and is notified of the response and of the end."""
@@ -63,6 +61,20 @@
         """Handle the end of the attempt, with the response if one arrived. Called exactly once."""
 
 
+class AttemptConnection(Source, Protocol):
+    """The connection that carries an attempt, and is the source of a response that is streamed."""
+
+    @property
+    def waits_for_memory(self) -> bool:
+        """Whether a response waits in the queue for memory."""
+
+    def send(self, attempt: Attempt, request: Message) -> None:
+        """Write the request of an attempt, and carry the attempt until it ends."""
+
+    def release(self, attempt: Attempt) -> None:
+        """Cancel an attempt that has ended without a response."""
+
+
 @dataclass(slots=True, eq=False)
 class Attempt:
     """One attempt, or one probe; `ConnectionPool.start` starts it.
@@ -91,7 +103,7 @@
     limits: StreamLimits | None = None
     timeout_ms: float = 0.0
     timer: Timer | None = None
-    connection: ServerConnection | None = None
+    connection: AttemptConnection | None = None
     sent_enough_to_run: bool = False
     response_started: bool = False
 
@@ -118,7 +130,7 @@
             else max(Flow.MIN_CREDIT_BYTES, self.limits.response.hold_bytes)
         )
 
-    def write(self, connection: ServerConnection) -> bool:
+    def write(self, connection: AttemptConnection) -> bool:
         """Send the request on an established connection, unless the attempt has ended or must end unwritten.
 
         Returns:
--- a/sandhatch/upstream/connection.py
+++ b/sandhatch/upstream/connection.py
@@ -13,20 +13,18 @@
 import asyncio
 import select
 from functools import partial
-from typing import TYPE_CHECKING, cast
+from typing import cast
 
 from sandhatch.http1.message import Message
 from sandhatch.http1.serializer import encode_request, encode_request_head
 from sandhatch.streaming.flow import Flow
 from sandhatch.streaming.socket_writer import READ_BUFFER, SocketWriter
 from sandhatch.upstream.attempt import Attempt
+from sandhatch.upstream.interfaces import ConnectionOwner
 from sandhatch.upstream.outcomes import classify_response
 from sandhatch.upstream.response_receiver import BUFFERING, STREAMING, ResponseReceiver
 from sandhatch.upstream.server import UpstreamServer
 
-if TYPE_CHECKING:
-    from sandhatch.upstream.connection_pool import ConnectionPool
-
 
 class ServerConnection(ResponseReceiver, asyncio.BufferedProtocol):
     """A connection to a server: the sink of a streamed request, and the source of a streamed response.
@@ -41,7 +39,9 @@
         idle_since_ms: Start of the present idle period in Unix milliseconds.
     """
 
-    def __init__(self, pool: ConnectionPool, server: UpstreamServer) -> None:
+    _pool: ConnectionOwner[ServerConnection]
+
+    def __init__(self, pool: ConnectionOwner[ServerConnection], server: UpstreamServer) -> None:
         """Create the protocol of a connection that is not established yet."""
         super().__init__(pool)
         self.server = server
@@ -274,7 +274,7 @@
         if self._transport is not None and not self._transport.is_closing():
             self._transport.abort()
 
-    def migrate(self, pool: ConnectionPool, server: UpstreamServer) -> None:
+    def migrate(self, pool: ConnectionOwner[ServerConnection], server: UpstreamServer) -> None:
         """Assign the connection to another pool; it must not carry an attempt."""
         self._pool = pool
         self.server = server
--- a/sandhatch/upstream/response_receiver.py
+++ b/sandhatch/upstream/response_receiver.py
@@ -24,7 +24,6 @@
 from collections.abc import Sequence
 from enum import Enum
 from functools import partial
-from typing import TYPE_CHECKING
 
 from sandhatch.http1.body_endpoint import BodyEndpoint
 from sandhatch.http1.events import BodyEnd, Event
@@ -34,11 +33,9 @@
 from sandhatch.streaming.flow import Flow
 from sandhatch.streaming.socket_writer import READ_BUFFER
 from sandhatch.upstream.attempt import Attempt
+from sandhatch.upstream.interfaces import ConnectionResources
 from sandhatch.upstream.outcomes import classify_response
 
-if TYPE_CHECKING:
-    from sandhatch.upstream.connection_pool import ConnectionPool
-
 
 class ResponseState(Enum):
     """State of the response that is being received; see the table in the module docstring."""
@@ -58,11 +55,11 @@
 class ResponseReceiver(BodyEndpoint):
     """The receiving side of a connection to a server: the source of a streamed response."""
 
-    def __init__(self, pool: ConnectionPool) -> None:
+    def __init__(self, pool: ConnectionResources) -> None:
         """Create the receiving side of a connection that is not established yet.
 
         Args:
-            pool: The pool that opens the connection.
+            pool: Clock and memory budget of the pool that opens the connection.
         """
         super().__init__()
         self.is_ending = False
