--- a/sandhatch/config/transactions.py
+++ b/sandhatch/config/transactions.py
@@ -131,8 +131,18 @@
             raise RejectedError(
                 RejectionReason.NOTHING, f"version {self.active.number} already has the same content"
             )
+        version = self._next_version(now_ms, proposal, checked, len(changes))
+        version.confirm_within_ms = confirm_within_ms
         watch = checked.model.watch
-        version = Version(
+        version.watch_window_ms = watch.window_ms if watched and watch.enabled else None
+        self._lifecycle.begin(version)
+        return version
+
+    def _next_version(
+        self, now_ms: float, proposal: Proposal, checked: CheckedConfiguration, changes: int
+    ) -> Version:
+        """Return the version that a proposal makes of the active one."""
+        return Version(
             number=self._lifecycle.next_number,
             base=self.active.number,
             checked=checked,
@@ -140,12 +150,8 @@
             author=proposal.author,
             comment=proposal.comment,
             made_ms=now_ms,
-            changes=len(changes),
-            confirm_within_ms=confirm_within_ms,
-            watch_window_ms=watch.window_ms if watched and watch.enabled else None,
+            changes=changes,
         )
-        self._lifecycle.begin(version)
-        return version
 
     def _reject_if_busy(self, proposal: Proposal) -> None:
         pending = self._lifecycle.pending
--- a/sandhatch/dispatch/dispatcher.py
+++ b/sandhatch/dispatch/dispatcher.py
@@ -87,13 +87,9 @@
         self.clock = shared.clock
         self.logger = shared.logger
         self.memory_budget = shared.memory_budget
-        limits = ConnectionLimits(
-            plan.max_connections,
-            settings.connection_idle_ms,
-            settings.connect_timeout_ms,
-            plan.drain_grace_ms,
+        self.connection_pool = ConnectionPool(
+            self.clock, self.memory_budget, shared.descriptors, _connection_limits(plan)
         )
-        self.connection_pool = ConnectionPool(self.clock, self.memory_budget, shared.descriptors, limits)
         self.source = source(self.on_listing, self.logger.write_line)
         self.balancer: BalancerProtocol = decisions or Balancer(settings, plan.seed)
         self.observer: Observer | None = None
@@ -339,6 +335,16 @@
             self._exchanges.respond(exchange, status, headers)
 
 
+def _connection_limits(plan: PoolPlan) -> ConnectionLimits:
+    """Return the limits of a pool's connections."""
+    return ConnectionLimits(
+        plan.max_connections,
+        plan.settings.connection_idle_ms,
+        plan.settings.connect_timeout_ms,
+        plan.drain_grace_ms,
+    )
+
+
 def _retry_after(wait_ms: float) -> Headers:
     """Return a Retry-After header for a wait in milliseconds, or no header if there is no wait."""
     return [(b"Retry-After", b"%.3f" % (wait_ms / 1000.0))] if wait_ms > 0.0 else []
--- a/sandhatch/dispatch/streamed_bodies.py
+++ b/sandhatch/dispatch/streamed_bodies.py
@@ -125,12 +125,7 @@
             return None
         now_ms = self._clock.now_ms()
         self._restart_timers(exchange, attempt, limits, now_ms)
-        assert attempt.connection is not None  # the connection that receives the response
-        flow = Flow(
-            limits.response, self._shared, attempt.connection, reserved_bytes, leases_to_response=False
-        )
-        flow.observe(_ResponseObserver(self, exchange))
-        exchange.response_flow = flow
+        flow = self._open_response_flow(exchange, attempt, limits, reserved_bytes)
         exchange.responding_attempt = attempt_number
         exchange.status = response.status
         self._track_progress(exchange)
@@ -142,6 +137,18 @@
             flow.attach(exchange.client)
         return flow
 
+    def _open_response_flow(
+        self, exchange: Exchange, attempt: Attempt, limits: StreamLimits, reserved_bytes: int
+    ) -> Flow:
+        """Open the flow of a response, whose source is the connection that carries the attempt."""
+        assert attempt.connection is not None
+        flow = Flow(
+            limits.response, self._shared, attempt.connection, reserved_bytes, leases_to_response=False
+        )
+        flow.observe(_ResponseObserver(self, exchange))
+        exchange.response_flow = flow
+        return flow
+
     def _restart_timers(
         self, exchange: Exchange, attempt: Attempt, limits: StreamLimits, now_ms: float
     ) -> None:
--- a/sandhatch/platform/program.py
+++ b/sandhatch/platform/program.py
@@ -27,6 +27,11 @@
 MIN_CONNECTION_DESCRIPTORS = 8
 
 
+def _discovery_plan(config: PlatformConfig) -> DiscoveryPlan:
+    """Return the address of discovery and the data that is available before the first call."""
+    return DiscoveryPlan(config.discovery, config.zones, config.machine_types, config.known_endpoints)
+
+
 class PlatformProgram:
     """The assembled components of the platform's program.
 
@@ -65,10 +70,8 @@
         pool_plan = PoolPlan(
             settings, config.seed, connection_descriptors // 2, config.drain_grace_ms, config.report_names
         )
-        discovery_plan = DiscoveryPlan(
-            config.discovery, config.zones, config.machine_types, config.known_endpoints
-        )
-        self.dispatcher = Dispatcher(pool_plan, self.shared, partial(Discovery, discovery_plan), decisions)
+        make_source = partial(Discovery, _discovery_plan(config))
+        self.dispatcher = Dispatcher(pool_plan, self.shared, make_source, decisions)
         source = self.dispatcher.source
         assert isinstance(source, Discovery)
         self.discovery = source
--- a/sandhatch/streaming/flow.py
+++ b/sandhatch/streaming/flow.py
@@ -112,13 +112,8 @@
         self.trailers: Headers = []
         self._clock = resources.clock
         self._statistics = resources.flow_statistics
-        self._memory = FlowMemory(
-            resources.memory_budget,
-            resources.flow_statistics,
-            limits.ceiling_bytes,
-            reserved_bytes,
-            leases_to_response,
-        )
+        budget, ceiling_bytes = resources.memory_budget, limits.ceiling_bytes
+        self._memory = FlowMemory(budget, self._statistics, ceiling_bytes, reserved_bytes, leases_to_response)
         self._observer: FlowObserver | None = None
         self._sink: Sink | None = None
         self._unsent_bytes = 0  # bytes that the sink had not sent at the last check
