No circle of types in downstream: interfaces no longer name the connection

Need: interfaces.py imported ClientConnection, which imports interfaces.py, for types. Change: the request handler and the listener's interface are generic in the connection; what all layers of a connection use of the listener is ConnectionResources. No behaviour changed.

--- a/sandhatch/downstream/client_connection.py
+++ b/sandhatch/downstream/client_connection.py
@@ -49,7 +49,9 @@
     )
     MAX_LINGER_BYTES = 256 * 1024  # received bytes discarded during the lingering close, until reading stops
 
-    def __init__(self, listener: ConnectionOwner) -> None:
+    _listener: ConnectionOwner[ClientConnection]
+
+    def __init__(self, listener: ConnectionOwner[ClientConnection]) -> None:
         """Create the protocol of a connection that `listener` has just accepted."""
         super().__init__(listener, max_queued=self.MAX_QUEUED_REQUESTS)
         self.is_fresh = True  # whether no request has been received completely or responded to yet
--- a/sandhatch/downstream/client_transport.py
+++ b/sandhatch/downstream/client_transport.py
@@ -11,7 +11,7 @@
 import socket
 import struct
 
-from sandhatch.downstream.interfaces import ConnectionOwner
+from sandhatch.downstream.interfaces import ConnectionResources
 from sandhatch.downstream.socket_poll import make_disconnect_poll
 from sandhatch.http1.body_endpoint import BodyEndpoint
 
@@ -22,7 +22,7 @@
 class ClientTransport(BodyEndpoint):
     """Base class of `ClientConnection`; the subclass sets `_transport` while the connection is open."""
 
-    def __init__(self, listener: ConnectionOwner) -> None:
+    def __init__(self, listener: ConnectionResources) -> None:
         """Create the socket layer of a connection that `listener` has just accepted."""
         super().__init__()
         self.is_ending = False  # True once no further request is read from the connection
--- a/sandhatch/downstream/listener.py
+++ b/sandhatch/downstream/listener.py
@@ -38,7 +38,7 @@
         self,
         address: Address,
         shared: SharedResources,
-        request_handler: RequestHandler,
+        request_handler: RequestHandler[ClientConnection],
         name: str = "",
         half_close: bool = False,
     ) -> None:
--- a/sandhatch/downstream/request_receiver.py
+++ b/sandhatch/downstream/request_receiver.py
@@ -15,7 +15,7 @@
 from __future__ import annotations
 
 from sandhatch.downstream.client_transport import ClientTransport
-from sandhatch.downstream.interfaces import ConnectionOwner
+from sandhatch.downstream.interfaces import ConnectionResources
 from sandhatch.http1.errors import Fault
 from sandhatch.http1.events import BodyEnd, Event
 from sandhatch.http1.message import Message
@@ -36,7 +36,7 @@
 class RequestReceiver(ClientTransport):
     """Receiving side of a client connection; the module's docstring describes how a body is received."""
 
-    def __init__(self, listener: ConnectionOwner, max_queued: int) -> None:
+    def __init__(self, listener: ConnectionResources, max_queued: int) -> None:
         """Create the receiving side of a connection that `listener` has just accepted.
 
         Args:
--- a/sandhatch/downstream/response_sender.py
+++ b/sandhatch/downstream/response_sender.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from sandhatch.downstream.interfaces import ConnectionOwner, DisconnectCallback
+from sandhatch.downstream.interfaces import ConnectionResources, DisconnectCallback
 from sandhatch.downstream.request_receiver import RequestReceiver
 from sandhatch.http1.errors import Fault
 from sandhatch.http1.message import Message
@@ -24,7 +24,7 @@
 class ResponseSender(RequestReceiver):
     """Sending side of a client connection."""
 
-    def __init__(self, listener: ConnectionOwner, max_queued: int) -> None:
+    def __init__(self, listener: ConnectionResources, max_queued: int) -> None:
         """Create the sending side of a connection that `listener` has just accepted."""
         super().__init__(listener, max_queued)
         self._current_request: Message | None = None  # request in flight, None if there is no such request
