A closed exchange releases its body while its last attempts are in flight

Change: nothing is written for a closed exchange, so it drops the body.

Test: test_closed_exchange_releases_its_body_while_an_attempt_is_pending failed without it. Never seen over a limit.

--- a/sandhatch/dispatch/exchange.py
+++ b/sandhatch/dispatch/exchange.py
@@ -161,8 +161,15 @@
         self.remove_if_done(exchange)
 
     def remove_if_done(self, exchange: Exchange) -> None:
-        """Remove an exchange and call its `on_done`, if it is closed and no attempt is pending."""
-        if not exchange.closed or exchange.pending_attempts:
+        """Remove an exchange and call its `on_done`, if it is closed and no attempt is pending.
+
+        A closed exchange with attempts in flight releases the request's body: nothing is written for it any
+        more, and the client connection, which has counted the body in the memory budget, no longer does.
+        """
+        if not exchange.closed:
+            return
+        if exchange.pending_attempts:
+            exchange.message.body = b""
             return
         if self.pop(exchange.number, None) is None:
             return
--- a/tests/dispatch/test_exchange.py
+++ b/tests/dispatch/test_exchange.py
@@ -79,3 +79,19 @@
         assert (len(open_exchange.table), open_exchange.done) == (0, [open_exchange.exchange])
 
     run(scenario())
+
+
+def test_closed_exchange_releases_its_body_while_an_attempt_is_pending() -> None:
+    # Guards against retained bodies that the memory budget no longer counts, as of clients that leave at once.
+    async def scenario() -> None:
+        open_exchange = OpenExchange()
+        exchange = open_exchange.exchange
+        exchange.message.body = b"x" * 60_000
+        exchange.pending_attempts = 1
+        open_exchange.table.remove_if_done(exchange)
+        assert len(exchange.message.body) == 60_000
+        open_exchange.table.respond(exchange, 502)
+        assert exchange.message.body == b""
+        assert open_exchange.done == []
+
+    run(scenario())
