Settings with a number beyond a float get an error that names the key

Bad input is owed a plain error. Cause: ObjectReader.number converted without a guard, and label took its default for an absent key alone. Both read an absent key and null alike now. Tests: two in test_settings_decoder.py, for the two faults.

--- a/sandhatch/simulator/json_reader.py
+++ b/sandhatch/simulator/json_reader.py
@@ -1,7 +1,6 @@
 """Typed access to the values of a JSON object, with errors that name the key's path and the value.
 
-A key that is absent or null has its default, but a label that is null is read as "None". Keys that are not
-read are ignored.
+A key that is absent or null has its default. Keys that are not read are ignored.
 """
 
 from __future__ import annotations
@@ -17,6 +16,17 @@
 REQUIRED: Any = object()  # passed as a default, marks a key that must be present
 
 
+def _finite_number(value: Any) -> float | None:
+    """Convert a JSON value to a number; None if it is no number, or not a finite one."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return None
+    try:
+        number = float(value)
+    except OverflowError:  # an integer beyond the largest float
+        return None
+    return number if math.isfinite(number) else None
+
+
 class ObjectReader:
     """Reader of the values of one JSON object."""
 
@@ -48,15 +58,16 @@
     ) -> float:
         """Read a finite number between bounds."""
         value = self._value(key, default)
-        if isinstance(value, bool) or not isinstance(value, int | float) or not minimum <= value < math.inf:
+        number = _finite_number(value)
+        if number is None or number < minimum:
             raise SettingsError(
-                f"{self._path}{key}: {value!r} is not a finite number of at least {minimum:g}"
+                f"{self._path}{key}: {value!r:.80} is not a finite number of at least {minimum:g}"
             )
-        if value > maximum:
+        if number > maximum:
             raise SettingsError(
                 f"{self._path}{key}: {value!r} is not a number between {minimum:g} and {maximum:g}"
             )
-        return float(value)
+        return number
 
     def integer(self, key: str, default: int = REQUIRED, minimum: int = 0) -> int:
         """Read an integer with a lower bound."""
@@ -81,7 +92,7 @@
 
     def label(self, key: str) -> str:
         """Read a label, converted to a string without checks; empty if absent."""
-        return str(self._data.get(key, ""))
+        return str(self._value(key, ""))
 
     def array(self, key: str, default: list[Any] = REQUIRED) -> list[Any]:
         """Read an array without checking its elements."""
--- a/tests/dispatch/test_exchange.py
+++ b/tests/dispatch/test_exchange.py
@@ -82,7 +82,7 @@
 
 
 def test_closed_exchange_releases_its_body_while_an_attempt_is_pending() -> None:
-    # Guards against retained bodies that the memory budget no longer counts, as of clients that leave at once.
+    # Guards against retained bodies that the memory budget no longer counts, as of clients that have left.
     async def scenario() -> None:
         open_exchange = OpenExchange()
         exchange = open_exchange.exchange
--- a/tests/simulator/test_settings_decoder.py
+++ b/tests/simulator/test_settings_decoder.py
@@ -157,6 +157,7 @@
         (set_at(["Categories", 0, "AimMs"], None), r"Categories\[0\].AimMs: missing"),
         (set_at(["Categories", 0, "AimMs"], -5), r"Categories\[0\].AimMs: -5"),
         (set_at(["Categories", 0, "AimMs"], float("nan")), r"Categories\[0\].AimMs: nan"),
+        (set_at(["Categories", 0, "AimMs"], 10**400), r"Categories\[0\].AimMs: 1000.* not a finite number"),
         (set_at(["Categories", 0, "HardLimitMs"], "long"), r"Categories\[0\].HardLimitMs: 'long'"),
         (set_at(["Categories", 0, "Effect"], "maybe"), r"Categories\[0\].Effect: 'maybe'"),
         (set_at(["Categories", 0, "Group"], "hall"), r"Categories\[0\].Group: 'hall'"),
@@ -177,6 +178,12 @@
         decode_settings(json.dumps(settings).encode())
 
 
+def test_label_that_is_null_is_read_as_absent() -> None:
+    settings = json.loads(json.dumps(SETTINGS))
+    settings["Categories"][0]["Name"] = None
+    assert decode_settings(json.dumps(settings).encode()).classes[0].name == ""
+
+
 def test_settings_that_are_not_json_raise_error() -> None:
     with pytest.raises(SettingsError, match="not JSON"):
         decode_settings(b"{")
