A streamed body in small chunks is passed on in one piece a read

Change: the parser joins what one read brings of an opened body.

Test: test_small_chunks_of_an_opened_body_are_one_piece_a_read failed on the parent's parser. tests of http1 and streaming passed. Never seen in service.

--- a/sandhatch/http1/message_parser.py
+++ b/sandhatch/http1/message_parser.py
@@ -13,7 +13,7 @@
     ========= ============================== ========================= =====================================
     HEAD      (none)                         (none)                    BUFFERING at the head's end
     BUFFERING the parser's buffer            the message, at its end   HEAD at the end, or OPENED by `open`
-    OPENED    the events, as pieces          pieces, then a `BodyEnd`  HEAD at the end
+    OPENED    the events, a piece a read     pieces, then a `BodyEnd`  HEAD at the end
     CLOSED    (input is ignored)             (none)                    (none)
     ========= ============================== ========================= =====================================
 
@@ -92,7 +92,8 @@
         self._events: list[Event] = []  # events from the bytes of the read that is being parsed
         self._messages_in_read = 0
         self._message = Message()
-        self._body = ByteBuffer()  # body of a message that is not opened
+        # Body of a message that is not opened; of an opened one, the part in the read that is being parsed.
+        self._body = ByteBuffer()
         self._body_bytes = 0  # bytes received of the current body
         self._message_bytes = 0  # bytes fed since the last complete message
         self._trailers: Headers = []
@@ -200,6 +201,7 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.fault = self._fault_from(error)
+        self._emit_piece()
         if self.fault is None:
             self.fault = self._check_limits()
         self._events = []
@@ -335,7 +337,7 @@
             raise FramingError(413, "the body is too long")  # rejected before any of the body is received
 
     def on_body(self, data: bytes) -> None:
-        """Buffer a part of the body, or add it to the events if the message is opened."""
+        """Buffer a part of the body; that of an opened message is added to the events at the read's end."""
         self._body_bytes += len(data)
         if self._body_bytes > self._max_body_bytes:
             raise FramingError(413, "the body is too long")
@@ -343,10 +345,7 @@
         # The parts of a read before this piece are parsed; how much of the rest is framing is unknown yet.
         self._framing_bytes_in_read -= len(data)
         self._unparsed_bytes = self._framing_bytes_in_read
-        if self._state is OPENED:
-            self._events.append(data)
-        else:
-            self._body.append(data)
+        self._body.append(data)
 
     def on_message_complete(self) -> None:
         """Add the complete message, or the end of an opened body, to the events."""
@@ -358,7 +357,13 @@
         self._events.append(message)
         self._expect_next_message()
 
+    def _emit_piece(self) -> None:
+        """Add the read's part of an opened body to the events, in one piece however it is chunked."""
+        if self._state is OPENED and self._body:
+            self._events.append(self._body.take())
+
     def _finish_opened_body(self) -> None:
+        self._emit_piece()
         self._remaining_bytes = UNKNOWN_LENGTH
         self._events.append(BodyEnd(self._trailers))
         self._trailers = []
--- a/tests/http1/test_memory_accounting.py
+++ b/tests/http1/test_memory_accounting.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from sandhatch.http1.events import BodyEnd
 from sandhatch.http1.limits import MAX_HEAD_BYTES, MAX_REQUEST_BODY_BYTES
 from sandhatch.http1.parser import RequestParser, ResponseParser
 
@@ -82,3 +83,15 @@
     (message,) = parser.feed(b"0\r\n\r\n")
     assert message.body == b"ab" * 32_500  # type: ignore[union-attr]
     assert parser.buffered_bytes == 0
+
+
+def test_small_chunks_of_an_opened_body_are_one_piece_a_read() -> None:
+    # Guards against thousands of small writes to a slow receiver, each of which takes memory of its own.
+    parser = RequestParser()
+    parser.on_head = lambda _message: parser.stream(0, 1024 * KIB)
+    assert parser.feed(REQUEST + CHUNKED) == []
+    parser.open()
+    assert parser.feed(TWO_BYTE_CHUNKS[: 7 * 1000]) == [b"ab" * 1000]
+    piece, end = parser.feed(TWO_BYTE_CHUNKS[: 7 * 1000] + b"0\r\n\r\n")
+    assert piece == b"ab" * 1000
+    assert isinstance(end, BodyEnd)
