--- a/tests/upstream/test_outcomes.py
+++ b/tests/upstream/test_outcomes.py
@@ -4,9 +4,9 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
-from contextlib import suppress
-from typing import Any
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager, suppress
+from typing import Any, NamedTuple
 
 import pytest
 
@@ -19,7 +19,7 @@
 from testkit.servers import Behaviour, FakeConnection
 from testkit.wire import RESPONSE_TIMEOUT_S, ReceivedRequest, ok, status
 from tests.event_loop import run
-from tests.fakes import ScriptedBalancer, loopback
+from tests.fakes import Loopback, ScriptedBalancer, loopback
 from tests.upstream.behaviours import (
     closes_without_response,
     full_backlog,
@@ -206,71 +206,74 @@
     pool._connect = connect_with_small_buffer  # type: ignore[method-assign]
 
 
-def test_reset_before_the_last_byte_is_sent_ends_as_connect_failed() -> None:
-    """Guards against taking a request for possibly run if the server resets while a part of it is unsent."""
+LONG_BODY_BYTES = 60_000  # more than small socket buffers accept at once
 
-    async def scenario(listener: socket.socket) -> None:
-        # With small buffers the body exceeds what the operating system accepts, so its last byte stays
-        # unsent.
-        script = ScriptedBalancer([1])
+
+class PartlySentRequest(NamedTuple):
+    """A request of which the kernel has accepted only a part, and the server's end of its connection."""
+
+    network: Loopback
+    script: ScriptedBalancer
+    connection: socket.socket
+
+
+@asynccontextmanager
+async def partly_sent_request() -> AsyncIterator[PartlySentRequest]:
+    """Send a long request by way of small socket buffers to a server that does not read."""
+    script = ScriptedBalancer([1])
+    with listener_with_small_buffer() as listener:
         async with loopback(script=script, entries=(entry("a", listening_port(listener)),)) as network:
-            loop = asyncio.get_running_loop()
             shrink_send_buffers(network.pool)
-            network.client.send_request("move", b"x" * 60_000)
-            connection, _ = await loop.sock_accept(listener)
-            head = await loop.sock_recv(connection, 100)
+            network.client.send_request("move", b"x" * LONG_BODY_BYTES)
+            connection, _ = await asyncio.get_running_loop().sock_accept(listener)
+            await wait_until(lambda: network.pool._open, "a part of the request is written")
+            with connection:
+                yield PartlySentRequest(network, script, connection)
+
+
+def test_reset_before_the_last_byte_is_sent_ends_as_connect_failed() -> None:
+    """Guards against taking a request for possibly run if the server resets while a part of it is unsent."""
+
+    async def scenario() -> None:
+        async with partly_sent_request() as request:
+            head = await asyncio.get_running_loop().sock_recv(request.connection, 100)
             assert head.startswith(b"POST")
-            connection.close()  # closing with unread bytes sends a reset
-            assert (await script.next_attempt_end()).outcome is Outcome.CONNECT_FAILED
-            assert (await network.client.read_response()).status == 502
+            request.connection.close()  # closing with unread bytes sends a reset
+            assert (await request.script.next_attempt_end()).outcome is Outcome.CONNECT_FAILED
+            assert (await request.network.client.read_response()).status == 502
 
-    with listener_with_small_buffer() as listener:
-        run(scenario(listener))
+    run(scenario())
 
 
 def test_unsent_bytes_of_a_request_count_in_the_memory_budget() -> None:
     """Guards against servers that don't read, and so take the process over its memory limit."""
 
-    async def scenario(listener: socket.socket) -> None:
-        body_bytes = 60_000
-        script = ScriptedBalancer([1])
-        async with loopback(script=script, entries=(entry("a", listening_port(listener)),)) as network:
-            shrink_send_buffers(network.pool)
-            budget = network.balancer.shared.memory_budget
-            network.client.send_request("move", b"x" * body_bytes)
-            connection, _ = await asyncio.get_running_loop().sock_accept(listener)
-            await wait_until(lambda: budget.used_bytes > 1.5 * body_bytes, "both copies are counted")
-            connection.close()
-            await script.next_attempt_end()
-            assert (await network.client.read_response()).status == 502
+    async def scenario() -> None:
+        async with partly_sent_request() as request:
+            budget = request.network.balancer.shared.memory_budget
+            await wait_until(lambda: budget.used_bytes > 1.5 * LONG_BODY_BYTES, "both copies are counted")
+            request.connection.close()
+            await request.script.next_attempt_end()
+            assert (await request.network.client.read_response()).status == 502
             await wait_until(lambda: not budget.used_bytes, "nothing is counted")
 
-    with listener_with_small_buffer() as listener:
-        run(scenario(listener))
+    run(scenario())
 
 
 def test_request_accepted_in_part_is_not_completed_after_its_client_has_left() -> None:
     """Guards against a request that arrives at a server long after its client has disconnected."""
 
-    async def scenario(listener: socket.socket) -> None:
-        script = ScriptedBalancer([1])
-        async with loopback(script=script, entries=(entry("a", listening_port(listener)),)) as network:
-            loop = asyncio.get_running_loop()
-            shrink_send_buffers(network.pool)
-            network.client.send_request("move", b"x" * 60_000)
-            connection, _ = await loop.sock_accept(listener)
-            await wait_until(lambda: network.pool._open, "a part of the request is written")
-            network.client.writer.close()
-            assert (await script.next_attempt_end()).outcome is Outcome.DISCARDED
+    async def scenario() -> None:
+        async with partly_sent_request() as request:
+            request.network.client.writer.close()
+            assert (await request.script.next_attempt_end()).outcome is Outcome.DISCARDED
             received_bytes = 0
             with suppress(ConnectionResetError):
-                while data := await loop.sock_recv(connection, 65_536):
+                while data := await asyncio.get_running_loop().sock_recv(request.connection, 65_536):
                     received_bytes += len(data)
-            assert received_bytes < 60_000
-            connection.close()
+            assert received_bytes < LONG_BODY_BYTES
 
-    with listener_with_small_buffer() as listener:
-        run(scenario(listener))
+    run(scenario())
 
 
 async def attempt_in_flight(pool: ConnectionPool) -> Attempt:
