A planning report longer than a frame ends its session, and no longer the link's timer

Need (known issues, read in the code, not run): ForwarderLink._tick scheduled its next run only after its actions, and PlannerConnection.send did not catch SessionError, so a report beyond the frame limit stopped the link for good. Change: the next run is scheduled first; such a report disconnects the planner with a line in the log, and the link connects anew. Test: test_a_report_longer_than_a_frame_ends_the_session_and_not_the_link (the limit is lowered for it) failed on the parent commit; tests/planning/test_link.py 19 passed.

--- a/sandhatch/planning/link.py
+++ b/sandhatch/planning/link.py
@@ -178,8 +178,8 @@
             is_due = now_ms >= self._reconnect_ms[planner]
             if is_unconnected and is_due and self.forwarder.may_connect(planner, now_ms):
                 self._connect(planner)
+        self.clock.call_after(TICK_MS, self._tick)  # first, so that no error below ends the link's timer
         self._execute(self.forwarder.tick(now_ms))
-        self.clock.call_after(TICK_MS, self._tick)
 
     def _execute(self, actions: Sequence[Action]) -> None:
         for action in actions:
--- a/sandhatch/planning/link_connection.py
+++ b/sandhatch/planning/link_connection.py
@@ -81,13 +81,20 @@
         self.close(str(error))
 
     def send(self, report: SendReport) -> None:
-        """Send a report; a planner with too many unread bytes is disconnected instead."""
+        """Send a report; where it cannot be sent, the planner is disconnected instead.
+
+        This is so for a planner with too many unread bytes, and for a report longer than a frame may be.
+        """
         if self._transport is None:
             return
         if self._is_send_buffer_full:
             self.close("disconnected: the planner does not read its reports")
             return
-        self.session.send(report.report)
+        try:
+            self.session.send(report.report)
+        except SessionError as error:
+            self.close(f"disconnected: the report can't be sent: {error}")
+            return
         self.flush()
 
     def close(self, reason: str) -> None:
--- a/tests/planning/test_link.py
+++ b/tests/planning/test_link.py
@@ -318,6 +318,22 @@
     run(scenario())
 
 
+def test_a_report_longer_than_a_frame_ends_the_session_and_not_the_link(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against a link that stops for good: the error of such a report left its timer unscheduled.
+    async def scenario() -> None:
+        async with planner_server() as planner, connected_forwarder({"p0": planner.port}) as forwarder:
+            await wait_until(lambda: forwarder.has_lease_guidance)
+            received_before = len(forwarder.dispatcher.received_guidance)
+            with monkeypatch.context() as patch:
+                patch.setattr("sandhatch.planning.session.MAX_FRAME_BYTES", 40)
+                await wait_until(lambda: forwarder.has_logged("the report can't be sent: a message of"))
+            await wait_until(lambda: len(forwarder.dispatcher.received_guidance) > received_before + 2)
+
+    run(scenario())
+
+
 def test_without_a_reachable_planner_the_forwarder_uses_its_own_shares() -> None:
     async def scenario() -> None:
         async with scripted_planner(responds_to_each_report()) as planner:
