The test of a planner that does not read waits until the planner has stopped reading

Cause: a forwarder is through with the handshake before its planner. On a busy machine the test's zeros came in the planner's last read of it, which is a frame of 0 bytes: the planner reset the connection, and the next one was never filled. Shown by writing the zeros in the forwarder's callback: "Connection reset by peer" in the log, and the same time-out. Change: the test also waits for the planner's end of the handshake. Its assertion stays.

--- a/tests/planning/test_link.py
+++ b/tests/planning/test_link.py
@@ -298,6 +298,7 @@
 def test_a_planner_that_does_not_read_is_disconnected() -> None:
     async def script(connection: ForwarderConnection) -> None:
         await connection.wait_established()
+        stops_reading.set()
         await asyncio.sleep(60.0)
 
     async def scenario() -> None:
@@ -309,12 +310,15 @@
             await wait_until(lambda: forwarder.link._connections)
             connection = forwarder.link._connections["p0"]
             await wait_until(lambda: connection.established)
+            # The forwarder is through with the handshake before the planner, which must not read the zeros.
+            await stops_reading.wait()
             transport = connection._transport
             assert transport is not None
             while transport.get_write_buffer_size() <= MAX_UNSENT_BYTES + SYSTEM_BUFFER_BYTES:
                 transport.write(b"\0" * 65536)
             await wait_until(lambda: forwarder.has_logged("does not read"))
 
+    stops_reading = asyncio.Event()
     run(scenario())
 
 
