--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -397,7 +397,7 @@
             stderr=asyncio.subprocess.DEVNULL,
         )
         await wait_until_ready(self.port)
-        self._record("the service is ready with version 1")
+        self._record("the service is ready")
 
     @property
     def _control(self) -> tuple[str, str]:
@@ -431,6 +431,13 @@
         self._record(f"the service gets {number.name}")
         self._process.send_signal(number)
 
+    async def wait_until_ended(self) -> int:
+        """Wait until the process has ended by itself; return its exit code."""
+        assert self._process is not None
+        code = await self._process.wait()
+        self._record(f"the service has ended with exit code {code}")
+        return code
+
     async def end(self) -> None:
         """Kill the process if it runs, and remove its folder."""
         await _end_process(self._process)
