--- a/review/10/case.py
+++ b/review/10/case.py
@@ -28,12 +28,12 @@
 )
 
 SEED = 20261205
-BALANCERS = 24  # one beside each server of the tier `front`
+BALANCERS = 30  # one beside each server of the tier `front`
 SERVERS = 8  # of the tier `core`
 DRAINING = 2  # a quarter of them
 QUIET_S = 5.0
 WATCHED_S = 11.0  # from the notice on
-PAUSE_S = 0.15  # of each client, between two requests
+PAUSE_S = 0.1  # of each client, between two requests
 CLIENTS = 3  # of each balancer: its server has three requests in work
 
 GRACE_S = 1.0  # rules.drain_grace_ms of the site
@@ -117,8 +117,8 @@
         self.ending = False
 
     async def work(self, attempt: Attempt, connection: Connection) -> None:
-        """Work on a request, 0.15 to 0.9 s; the site's work has heavy tails."""
-        await asyncio.sleep(min(0.9, 0.15 * self.random.paretovariate(1.5)))
+        """Work on a request, 0.08 to 0.9 s; the site's work has heavy tails."""
+        await asyncio.sleep(min(0.9, 0.08 * self.random.paretovariate(1.5)))
         await connection.send(response(200, attempt.trace.encode()))
 
     async def run(self) -> list[str]:
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -604,12 +604,16 @@
     record(f"TROUBLE={int(trouble)}")
 
     async def limited() -> list[str]:
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGHUP):  # a case that is ended midway ends what it started
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         async with asyncio.timeout(CASE_LIMIT_S):
             return await case(record, trouble)
 
     try:
         breaks = asyncio.run(limited())
-    except Exception as problem:  # the case can't judge the rule
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt) as problem:  # the rule can't be judged
         record(f"not run: {type(problem).__name__}: {problem}")
         frame = traceback.extract_tb(problem.__traceback__)[-1]
         print(f"not run: {type(problem).__name__}: {problem} (line {frame.lineno})", file=sys.stderr)
