--- a/review/10/case.py
+++ b/review/10/case.py
@@ -39,7 +39,6 @@
 GRACE_S = 1.0  # rules.drain_grace_ms of the site
 TOLD_AT_LATEST_S = 6.0  # STANDING: the time from which a change counts as told, whether or not it arrived
 SLACK_S = 0.05  # PROTOCOL: every time limit is 50 ms longer
-WORK_LEFT_S = 1.0  # time that the operators give a server that has drained to finish its work
 
 CLASSES = {"usage-read": (3000, "GET"), "supply-order": (1200, "POST")}
 SETTINGS: dict[str, Any] = {
@@ -159,11 +158,7 @@
             for discovery in self.discoveries.values():
                 discovery.change(server.entry("leaving"))
                 self.drained_at[server.name] = now(), discovery.version
-        await asyncio.sleep(TOLD_AT_LATEST_S + GRACE_S + WORK_LEFT_S)
-        for server in servers:
-            self.record(f"{server.name} ends: what it was sent within the grace had time to be answered")
-            server.stop()
-        await asyncio.sleep(WATCHED_S - TOLD_AT_LATEST_S - GRACE_S - WORK_LEFT_S)
+        await asyncio.sleep(WATCHED_S)
 
     async def send_requests(self, balancer: Balancer) -> None:
         """Send the requests of one of the caller's slots, one after another."""
