A rejected call to discovery after a silence leaves time for a second one

Callers saw requests, among them orders, at draining servers up to some seconds past the drain grace, when all watches had fallen silent and discovery rejected the first call behind that.

Cause: the first call was spread over 0.9 of what was left of the 6 s, and the pause after its rejection was 2 to 4 s, so up to 9.7 s passed where 7 are allowed. Now it is spread over 0.6, and the second call is drawn from the time until half the grace after the bound. A spread too short for a fleet's calls is not narrowed further, and after a failed call the list at a new address of discovery is due 4 s after the change, not when the old one was.

--- a/sandhatch/balancing/endpoint_freshness.py
+++ b/sandhatch/balancing/endpoint_freshness.py
@@ -9,8 +9,9 @@
 response is due `notified_ms` later: from then on this instance is taken to know of every change that
 discovery has, whether or not the instance has received the change. Only a complete response moves this bound;
 a failure, a pause, a rejection or a malformed response does not. A watch waits for at most a third of the
-bound, so that a silent watch is detected early; the rest of the bound is for the requests that follow, which
-queue at discovery.
+bound, so that a silent watch is detected early; the rest of the bound is for two requests, which queue at
+discovery: the first is sent early enough that a second one, sent if discovery rejects the first, still gets
+its response within the drain grace after the bound.
 
 A request is one of three kinds, and each is sent as a `WatchList` action:
 
@@ -29,7 +30,9 @@
                                                                  starts again
     IN_FLIGHT    failed, rejected or abandoned      SCHEDULED    COMPLETE_LIST or OPEN_WATCH: spread like a
                                                                  start after the first failure, then with a
-                                                                 pause that counts from the failed request
+                                                                 pause that counts from the failed request;
+                                                                 after the second failure the pause is cut to
+                                                                 the time in which a request is still useful
     any          discovery has a new address        SCHEDULED    COMPLETE_LIST, spread; due in RELOCATED_MS
     any          response to an earlier request     unchanged    adopt the version of that response
 
@@ -109,11 +112,14 @@
         spread_ms: Width of the spread per instance that may send a request at the same time.
         pause_ms: Time between the starts of consecutive failing requests until the list is due.
         overdue_pause_ms: Time between the starts of consecutive failing requests once the list is overdue.
+        overdue_margin_ms: Time after the list is due until which a request is sent early enough for its
+            response to arrive within the drain grace period.
     """
 
     spread_ms: float
     pause_ms: float
     overdue_pause_ms: float
+    overdue_margin_ms: float
 
 
 # Width of the spread of first polls, per instance of each tier: twice the assumed service time of a request
@@ -126,12 +132,13 @@
         # Pushed lists come from the instance's own agent. As soon as the agent is back, the instance is taken
         # to know of the agent's changes, received or not. No other instance queues at the agent, and a pause
         # must fit into the shortest grace period.
-        return Pacing(0.0, 100.0, 500.0)
+        return Pacing(0.0, 100.0, 500.0, 0.0)
     # Once the list is overdue, each instance sends about one request per bound, so that a discovery service
     # that can serve all instances within the bound is not saturated by rejections. The pause must leave time
     # for a response within the grace period once discovery is back.
     grace_ms = min(settings.drain_grace_ms, notified_ms)  # `drain_grace_ms` may be arbitrarily large
-    return Pacing(SPREAD_MS, 2.0 * (notified_ms / 3.0), notified_ms + grace_ms / 2.0)
+    overdue_margin_ms = grace_ms / 2.0
+    return Pacing(SPREAD_MS, 2.0 * (notified_ms / 3.0), notified_ms + overdue_margin_ms, overdue_margin_ms)
 
 
 class Freshness:
@@ -147,7 +154,12 @@
         state: State of the requests to discovery.
     """
 
-    MAX_SPREAD_FRACTION = 0.9  # longest random delay of a poll, as a fraction of the time until a list is due
+    # Longest random delay of a poll, as a fraction of the time until a list is due. The rest of that time is
+    # kept for a second poll, since discovery may reject the first one.
+    SPREAD_FRACTION = 0.6
+    # Earliest time of a second poll, as a fraction of the time in which it has to be sent: a discovery that
+    # is busy enough to reject a poll is likely to reject one that follows at once.
+    RETRY_FRACTION = 0.25
     # Time beyond a renewal's wait for its response to arrive. Renewals don't queue at discovery, but an
     # instance on a fraction of a core may read late.
     RESPONSE_MARGIN_MS = 500.0
@@ -168,6 +180,8 @@
         self.notified_ms = list_age_bound_ms(settings)
         self._pacing = _pacing(settings, self.notified_ms)
         self._max_wait_ms = self.notified_ms / 3.0
+        # Polls of all instances within a shorter time would exceed discovery's capacity.
+        self._min_spread_ms = self.notified_ms / 3.0
         # A request that is abandoned loses its place in discovery's queue, so it may take half of the bound
         # on the list's age.
         self._response_timeout_ms = self.notified_ms / 2.0 + self.RESPONSE_MARGIN_MS
@@ -177,12 +191,13 @@
         self._request_number = 0  # number of the request last sent to discovery
         self._version = NO_VERSION  # version of the known list
         self._due_ms = math.inf  # time at which discovery's next complete response is due
+        self._relocated_due_ms = -math.inf  # time at which the list at discovery's present address is due
         self._scheduled_ms = math.inf  # time at which the scheduled request to discovery is sent
         self._sent_ms = 0.0  # time at which the last request to discovery was sent
-        # Whether the retry after the next failed poll gets a random delay, so that instances don't poll at
-        # the same time: the first retry since the last list does. First polls after a start already have
-        # such a delay.
-        self._spreads_failure = not self._is_polled
+        # Number of failures since the last list. The retry after the first failure gets a random delay, so
+        # that instances whose watches break together don't poll together. The first poll after a start
+        # already has such a delay, and its failure counts as the second.
+        self._failure_count = 1 if self._is_polled else 0
         self._knows_only_cached = False  # only the cached list is known, and discovery was not asked yet
         self._suspect: Suspect | None = None  # server that is listed as ready, but rejects requests
         # Pause, before jitter, after the last poll caused by a suspect (listed server that rejects requests);
@@ -250,7 +265,8 @@
     def _on_discovery_address_changed(self, now_ms: float) -> list[Action]:
         """Start again at the new address, where earlier requests and versions are unknown."""
         self._version = NO_VERSION
-        self._due_ms = min(self._due_ms, now_ms + RELOCATED_MS)
+        self._relocated_due_ms = now_ms + RELOCATED_MS
+        self._due_ms = min(self._due_ms, self._relocated_due_ms)
         self._reset_failures()
         return self._schedule(RequestKind.COMPLETE_LIST, self._spread_ms(now_ms), now_ms)
 
@@ -274,8 +290,11 @@
             return []
         if self.state is State.SUBSCRIBED:
             self._due_ms = now_ms + self.notified_ms  # the list was fresh until the subscription broke
+        # A list that was due before discovery's address changed is not there in time any more; the list at
+        # the new address can be.
+        self._due_ms = max(self._due_ms, self._relocated_due_ms)
         self._version = update.version
-        return self._schedule(self._first_kind(), self._pause_after_failure_ms(now_ms), now_ms)
+        return self._schedule(self._first_kind(), self._retry_delay_ms(now_ms), now_ms)
 
     def _confirm_suspicion(self, now_ms: float) -> list[Action]:
         """Poll discovery if the rejecting server is still listed as ready and has served nothing since."""
@@ -299,7 +318,7 @@
         return self.state is State.IN_FLIGHT and update.call == self._request_number
 
     def _reset_failures(self) -> None:
-        self._spreads_failure = True
+        self._failure_count = 0
         self._suspicion_pause_ms = 0.0
 
     # ------------------------------------------------ requests
@@ -311,26 +330,40 @@
         return RequestKind.OPEN_WATCH
 
     def _spread_ms(self, now_ms: float) -> float:
-        """Return the random delay of a poll that other instances may send at the same time."""
+        """Return the random delay of a poll that other instances may send at the same time.
+
+        The delay leaves time for a second poll, unless the list is due so soon that discovery could not
+        respond to all instances before.
+        """
         left_ms = max(0.0, self._due_ms - now_ms)
-        return self._rng.random() * min(
-            self._pacing.spread_ms * self._fleet_size, self.MAX_SPREAD_FRACTION * left_ms
-        )
+        useful_ms = max(0.0, self._last_useful_ms() - now_ms)
+        window_ms = min(useful_ms, max(self._min_spread_ms, self.SPREAD_FRACTION * left_ms))
+        return self._rng.random() * min(self._pacing.spread_ms * self._fleet_size, window_ms)
+
+    def _last_useful_ms(self) -> float:
+        """Return the last time at which a request gets its response before the list is too old to use."""
+        return self._due_ms + self._pacing.overdue_margin_ms
 
-    def _pause_after_failure_ms(self, now_ms: float) -> float:
+    def _retry_delay_ms(self, now_ms: float) -> float:
         """Return the delay from a failure to the next request.
 
         The first failure after a list is a watch that broke or fell silent: all changes since then are
         unknown, and the retry is spread. Later failures are paced from the start of one request to the start
-        of the next: the time that a request was in flight counts towards the pause.
+        of the next: the time that a request was in flight counts towards the pause. The pause after the
+        second failure ends while a request is still useful; later pauses don't, since shorter ones would
+        keep a busy discovery busy.
         """
-        if self._spreads_failure:
-            self._spreads_failure = False
+        self._failure_count += 1
+        if self._failure_count == 1:
             return self._spread_ms(now_ms)
         is_due = now_ms >= self._due_ms
         max_pause_ms = self._pacing.overdue_pause_ms if is_due else self._pacing.pause_ms
-        pause_ms = max_pause_ms * (0.5 + 0.5 * self._rng.random())
-        return max(0.0, self._sent_ms + pause_ms - now_ms)
+        earliest_ms = max(now_ms, self._sent_ms + 0.5 * max_pause_ms)
+        latest_ms = max(now_ms, self._sent_ms + max_pause_ms)
+        if self._failure_count == 2 and not is_due:
+            latest_ms = min(latest_ms, self._last_useful_ms())
+            earliest_ms = min(earliest_ms, now_ms + self.RETRY_FRACTION * (latest_ms - now_ms))
+        return self._rng.uniform(earliest_ms, latest_ms) - now_ms
 
     def _schedule(self, kind: RequestKind, delay_ms: float, now_ms: float) -> list[Action]:
         self.state = State.SCHEDULED
--- a/tests/balancing/endpoint_freshness/simulated_fleet.py
+++ b/tests/balancing/endpoint_freshness/simulated_fleet.py
@@ -30,6 +30,7 @@
     in_flight: WatchList | None = None
     responded_ms: float = float("-inf")
     connected: bool = False  # whether the connection of the instance's watch is still open
+    refusals: int = 0  # number of next queuing requests that discovery refuses at once
 
 
 @dataclass
@@ -135,6 +136,11 @@
                     lambda instance=instance, request=instance.in_flight: self._fail(instance, request),  # type: ignore[misc]
                 )
 
+    def refuse_next_requests(self) -> None:
+        """Refuse the next queuing request of each instance at once; a refusal costs discovery nothing."""
+        for instance in self.instances:
+            instance.refusals = 1
+
     def occupy(self, duration_ms: float) -> None:
         """Occupy discovery for `duration_ms` with requests of other clients."""
         self._busy_until_ms = max(self.now, self._busy_until_ms) + duration_ms
@@ -196,6 +202,9 @@
             self.after(0.1, lambda: self._fail(instance, request))
         elif self.is_silent:
             return
+        elif not continues and instance.refusals:
+            instance.refusals -= 1
+            self.after(0.1, lambda: self._fail(instance, request))
         elif not continues:
             self._queue(instance, request)
         elif instance.version < self.version:
