The id of a request that may have run is retained whatever number of requests follow

Callers saw an order run twice: its client left, another client sent some 17,000 requests that were rejected, and the order's id came again two seconds later.

Cause: 4,096 ids of finished requests were retained at most, rejected ones included; a rejected flood displaces an id in half a second, sound load too. Now only a request that may have run leaves its id, none is forgotten before its time, and the ids take little memory (hashes in generations). While they fill an eighth of the memory limit, requests are rejected (503) before any attempt.

--- a/sandhatch/dispatch/attempts.py
+++ b/sandhatch/dispatch/attempts.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from sandhatch.balancing.actions import Send
-from sandhatch.balancing.events import AttemptEnded, Outcome, ProbeEnded
+from sandhatch.balancing.events import NEVER_RAN, AttemptEnded, Outcome, ProbeEnded
 from sandhatch.balancing.settings import ReportMode
 from sandhatch.dispatch.exchange import Exchange, ExchangeCallbacks, ExchangeTable, TruncatedBy
 from sandhatch.dispatch.plan import PoolPlan
@@ -254,6 +254,7 @@
             self._exchanges.close(exchange, 200)
             exchange.client.respond(200, response.forwarded_headers(LOAD_HEADER), response.body)
         exchange.pending_attempts -= 1
+        exchange.may_have_run |= outcome not in NEVER_RAN
         report = (
             extract_load_report(response, self._report_names, from_body=False) if self._inline_reports else ()
         )
--- a/sandhatch/dispatch/exchange.py
+++ b/sandhatch/dispatch/exchange.py
@@ -45,6 +45,7 @@
         attempts: Attempts, indexed by number; None for an attempt that was never started.
         servers: Server numbers of the attempts, including those never started.
         pending_attempts: Number of attempts whose end has not been reported to the balancer.
+        may_have_run: Whether any attempt ended in a way that does not prove that the request never ran.
         closed: Whether the response is complete or aborted, or the client has disconnected.
         status: Status of the response; 0 if the client disconnected before.
         responded_ms: Time in Unix milliseconds at which the exchange was closed.
@@ -63,6 +64,7 @@
     attempts: list[Attempt | None] = field(default_factory=list)
     servers: list[int] = field(default_factory=list)
     pending_attempts: int = 0
+    may_have_run: bool = False
     closed: bool = False
     status: int = 0
     responded_ms: float = 0.0
@@ -173,7 +175,7 @@
             return
         if self.pop(exchange.number, None) is None:
             return
-        self._in_flight_ids.end(exchange.trace_id, self._clock.now_ms())
+        self._in_flight_ids.end(exchange.trace_id, self._clock.now_ms(), exchange.may_have_run)
         on_done = exchange.on_done
         exchange.on_done = None
         if on_done is not None:
--- a/sandhatch/downstream/request_parsing.py
+++ b/sandhatch/downstream/request_parsing.py
@@ -35,16 +35,24 @@
     trace_id: bytes
 
 
-def reject_duplicate_id(in_flight_ids: InFlightIds, trace_id: bytes) -> None:
-    """Reject a request with the id of another request that is in flight or ended recently.
+def reject_duplicate_id(in_flight_ids: InFlightIds, trace_id: bytes, now_ms: float) -> None:
+    """Reject a request with the id of another request that is in flight or may have run recently.
 
-    Two requests with the same id could not be told apart; rejecting the second protects the first.
+    Two requests with the same id could not be told apart; rejecting the second protects the first. While
+    there is no memory for a further id, any request is rejected, since a duplicate of it could run.
+
+    Args:
+        in_flight_ids: Ids of the requests of the process.
+        trace_id: Id of the request.
+        now_ms: Present time in Unix milliseconds.
 
     Raises:
-        FramingError: The id is in use.
+        FramingError: The id is in use (409), or no further id can be retained (503).
     """
     if trace_id in in_flight_ids:
         raise FramingError(409, "a request with this id is open, or was until lately")
+    if in_flight_ids.retained.is_full(now_ms):
+        raise FramingError(503, "too many recent requests to detect a duplicate")
 
 
 class RequestHeaderParser:
--- a/sandhatch/platform/request_handler.py
+++ b/sandhatch/platform/request_handler.py
@@ -32,6 +32,7 @@
     ) -> None:
         """Creates a handler that dispatches requests of the classes in `settings` to the pool."""
         self._dispatcher = dispatcher
+        self._clock = shared.clock
         self._in_flight_ids = shared.in_flight_ids
         self._shutdown_deadline = shutdown_deadline
         self._requests = RequestHeaderParser(settings)
@@ -65,7 +66,7 @@
             return None
         parsed = self._requests.parse(message)
         event = parsed.event
-        reject_duplicate_id(self._in_flight_ids, parsed.trace_id)
+        reject_duplicate_id(self._in_flight_ids, parsed.trace_id, self._clock.now_ms())
         time_left_ms = self._shutdown_deadline.limit(event.time_left_ms)
         event.time_left_ms = time_left_ms
         exchange = self._dispatcher.start_request(client, message, time_left_ms, parsed.trace_id, event)
--- a/sandhatch/runtime/shared_resources.py
+++ b/sandhatch/runtime/shared_resources.py
@@ -27,7 +27,7 @@
         logger: Log of the process.
         memory_budget: Memory budget for buffered bodies, heads and responses.
         flow_statistics: Statistics of streamed bodies.
-        in_flight_ids: Ids of requests that are in flight or have finished recently.
+        in_flight_ids: Ids of requests that are in flight or may have run recently.
         descriptors: Descriptor budget for connections to servers.
     """
 
@@ -55,7 +55,7 @@
         self.logger = Logger(name)
         self.memory_budget = MemoryBudget(memory_mb)
         self.flow_statistics = FlowStatistics()
-        self.in_flight_ids = InFlightIds(id_retention_ms)
+        self.in_flight_ids = InFlightIds(id_retention_ms, memory_mb)
         self.descriptors = DescriptorBudget()
         self.share_descriptors(connection_descriptors)
 
--- a/sandhatch/service/limits.py
+++ b/sandhatch/service/limits.py
@@ -45,5 +45,6 @@
     """Set the limits of a version that becomes active, but never shorten the retention of request ids."""
     shared.share_descriptors(connection_descriptors(checked))
     shared.memory_budget.set_limit(checked.model.limits.memory_mb)
-    in_flight_ids = shared.in_flight_ids
-    in_flight_ids.retention_ms = max(in_flight_ids.retention_ms, id_retention_ms(checked))
+    retained_ids = shared.in_flight_ids.retained
+    retained_ids.set_memory_limit(checked.model.limits.memory_mb)
+    retained_ids.retention_ms = max(retained_ids.retention_ms, id_retention_ms(checked))
--- a/sandhatch/service/request_handler.py
+++ b/sandhatch/service/request_handler.py
@@ -73,7 +73,8 @@
         if isinstance(target, FixedResponse):
             raise FramingError(target.status, target.body.decode("utf-8", "replace"))
         parsed = self._read(version, message)
-        reject_duplicate_id(self._shared.in_flight_ids, parsed.trace_id)
+        now_ms = self._shared.clock.now_ms()
+        reject_duplicate_id(self._shared.in_flight_ids, parsed.trace_id, now_ms)
         return version.limits[parsed.event.class_index]
 
     @staticmethod
@@ -150,7 +151,8 @@
         event = parsed.event
         trace_id = parsed.trace_id
         time_left_ms = event.time_left_ms
-        reject_duplicate_id(self._shared.in_flight_ids, trace_id)
+        received_at_ms = self._shared.clock.now_ms()
+        reject_duplicate_id(self._shared.in_flight_ids, trace_id, received_at_ms)
         limits = version.limits[event.class_index]
         message.limits = limits
         if message.flow is not None:
@@ -159,7 +161,6 @@
             expires_in = message.value(b"x-expires-in-ms")
             time_left_ms = limits.total_ms if expires_in is None else min(limits.total_ms, float(expires_in))
             event.time_left_ms = time_left_ms
-        received_at_ms = self._shared.clock.now_ms()
         class_name = version.class_names[event.class_index]
         version.open_requests += 1
         self.on_request_received(received_at_ms, class_name, pool.name, version)
