Buffers get no more memory than the program leaves of a small limit

Callers saw a process that passed its memory limit and was killed, with hundreds of clients that write slowly or stop in the middle of large requests. At 80 MB it doesn't show (platform's program 48 to 51 MB, serve 64 to 70); with small limits it does: 37 MB of 32 and, for serve with its default, 66 of 64.

Cause: a quarter of the limit went to buffers, whatever the program occupies (26 MB, serve 44). Now the program measures that once it is assembled, and buffers get at most half of what is left, ids of recent requests a quarter of it.

--- a/sandhatch/__main__.py
+++ b/sandhatch/__main__.py
@@ -17,7 +17,7 @@
 from sandhatch.platform.reload import DiscoveryReload
 from sandhatch.runtime.address import format_address
 from sandhatch.runtime.errors import ConfigError
-from sandhatch.runtime.process import freeze_garbage_collector, shutdown_event
+from sandhatch.runtime.process import freeze_garbage_collector, resident_mb, shutdown_event
 
 EXIT_OK = 0
 EXIT_BAD_CONFIGURATION = 2  # unreadable file, invalid value, or an address that can't be listened on
@@ -37,6 +37,7 @@
         return EXIT_BAD_CONFIGURATION
     program.discovery.start()
     freeze_garbage_collector()
+    program.shared.account_for_program(resident_mb())
     await shutdown_requested.wait()
     await program.drain()
     return EXIT_OK
--- a/sandhatch/cli/service_program.py
+++ b/sandhatch/cli/service_program.py
@@ -17,7 +17,7 @@
 from sandhatch.control.errors import ControlError
 from sandhatch.control.server import ControlServer
 from sandhatch.runtime.logger import report_loop_errors
-from sandhatch.runtime.process import freeze_garbage_collector, shutdown_event
+from sandhatch.runtime.process import freeze_garbage_collector, resident_mb, shutdown_event
 from sandhatch.service.access_log import AccessLog
 from sandhatch.service.errors import StageError
 from sandhatch.service.reload import Reload
@@ -46,6 +46,7 @@
         return ExitCode.FAILED
     loop.add_signal_handler(signal.SIGHUP, Reload(service, args.file).trigger)
     freeze_garbage_collector()
+    service.shared.account_for_program(resident_mb())
     service.logger.write_line(
         f"version {service.lifecycle.active.number} is active; control socket at {args.control}"
     )
--- a/sandhatch/runtime/memory_budget.py
+++ b/sandhatch/runtime/memory_budget.py
@@ -24,6 +24,9 @@
     # Part of the process's memory limit that buffers may use; the rest is for the program, its tables and
     # system reserves.
     MEMORY_LIMIT_FRACTION = 0.25
+    # Part of the memory beside the program that buffers may use; the rest is for connections and tables.
+    FREE_MEMORY_FRACTION = 0.5
+    MIN_LIMIT_MB = 1.0  # some requests fit even if the program alone exceeds the process's limit
 
     def __init__(self, memory_mb: float) -> None:
         """Creates an empty budget; `memory_mb` is the memory limit of the process."""
@@ -32,12 +35,18 @@
         self._is_granting = False
         self.set_limit(memory_mb)
 
-    def set_limit(self, memory_mb: float) -> None:
+    def set_limit(self, memory_mb: float, program_mb: float = 0.0) -> None:
         """Changes the process's memory limit.
 
         Bytes that exceed a lowered limit stay counted; no reservation is granted until it fits the new limit.
+
+        Args:
+            memory_mb: Memory limit of the process.
+            program_mb: Memory that the program occupies without any request.
         """
-        self.limit_bytes = int(memory_mb * BYTES_PER_MB * self.MEMORY_LIMIT_FRACTION)
+        limit_mb = self.MEMORY_LIMIT_FRACTION * memory_mb
+        free_mb = self.FREE_MEMORY_FRACTION * (memory_mb - program_mb)
+        self.limit_bytes = int(BYTES_PER_MB * min(limit_mb, max(self.MIN_LIMIT_MB, free_mb)))
         self._grant_waiters()
 
     @property
--- a/sandhatch/runtime/process.py
+++ b/sandhatch/runtime/process.py
@@ -9,6 +9,14 @@
 import gc
 import resource
 import signal
+from pathlib import Path
+
+from sandhatch.runtime.memory_budget import BYTES_PER_MB
+
+# Sizes in pages; the second one is the resident set, see proc(5).
+MEMORY_STATISTICS = Path("/proc/self/statm")
+    "/proc/self/statm"
+)  # sizes in pages; the second one is the resident set, see proc(5)
 
 # Net allocations before a collection of the youngest generation, its collections before one of the second
 # generation, and those of the second before one of the oldest. These thresholds are well above Python's
@@ -29,6 +37,15 @@
     return wanted if soft_limit == resource.RLIM_INFINITY else min(wanted, soft_limit)
 
 
+def resident_mb() -> float:
+    """Returns the memory that the process occupies, in MiB; 0 where the system doesn't tell."""
+    try:
+        resident_pages = int(MEMORY_STATISTICS.read_text().split()[1])
+    except (OSError, IndexError, ValueError):
+        return 0.0
+    return resident_pages * resource.getpagesize() / BYTES_PER_MB
+
+
 def shutdown_event(loop: asyncio.AbstractEventLoop) -> asyncio.Event:
     """Returns an event that SIGTERM and SIGINT set from now on."""
     shutdown = asyncio.Event()
--- a/sandhatch/runtime/retained_ids.py
+++ b/sandhatch/runtime/retained_ids.py
@@ -44,6 +44,7 @@
 
     GENERATIONS = 4  # a generation spans this part of the retention time, and holds this part of all ids
     MEMORY_LIMIT_FRACTION = 0.125  # part of the process's memory limit that the ids may occupy
+    FREE_MEMORY_FRACTION = 0.25  # part of the memory beside the program that the ids may occupy
     BYTES_PER_ID = 40  # mean over the newest generation, a set, and the older ones
     MIN_COUNT = 1024
 
@@ -57,10 +58,16 @@
         self._older_count = 0
         self.set_memory_limit(memory_mb)
 
-    def set_memory_limit(self, memory_mb: float) -> None:
-        """Change the process's memory limit; ids beyond a lowered limit stay until their time is over."""
-        limit_bytes = memory_mb * BYTES_PER_MB * self.MEMORY_LIMIT_FRACTION
-        self.max_count = max(self.MIN_COUNT, int(limit_bytes / self.BYTES_PER_ID))
+    def set_memory_limit(self, memory_mb: float, program_mb: float = 0.0) -> None:
+        """Change the process's memory limit; ids beyond a lowered limit stay until their time is over.
+
+        Args:
+            memory_mb: Memory limit of the process.
+            program_mb: Memory that the program occupies without any request.
+        """
+        free_mb = memory_mb - program_mb
+        limit_mb = min(self.MEMORY_LIMIT_FRACTION * memory_mb, self.FREE_MEMORY_FRACTION * free_mb)
+        self.max_count = max(self.MIN_COUNT, int(limit_mb * BYTES_PER_MB / self.BYTES_PER_ID))
 
     def __len__(self) -> int:
         """Return the number of ids."""
--- a/sandhatch/runtime/shared_resources.py
+++ b/sandhatch/runtime/shared_resources.py
@@ -57,8 +57,29 @@
         self.flow_statistics = FlowStatistics()
         self.in_flight_ids = InFlightIds(id_retention_ms, memory_mb)
         self.descriptors = DescriptorBudget()
+        self._memory_mb = memory_mb
+        self._program_mb = 0.0
         self.share_descriptors(connection_descriptors)
 
+    def limit_memory(self, memory_mb: float) -> None:
+        """Divide a new memory limit of the process between buffers and request ids."""
+        self._memory_mb = memory_mb
+        self.memory_budget.set_limit(memory_mb, self._program_mb)
+        self.in_flight_ids.retained.set_memory_limit(memory_mb, self._program_mb)
+
+    def account_for_program(self, program_mb: float) -> None:
+        """Leave the memory that the program occupies without any request out of what requests may use.
+
+        Called once the program is assembled; `program_mb` is 0 if it is unknown.
+        """
+        self._program_mb = program_mb
+        self.limit_memory(self._memory_mb)
+        if program_mb >= self._memory_mb:
+            self.logger.write_line(
+                f"limits.memory_mb: expected more than {program_mb:.0f} MiB, which the program occupies "
+                f"without any request, got {self._memory_mb:g}"
+            )
+
     def share_descriptors(self, connection_descriptors: int) -> None:
         """Divides the descriptors: half for connections to servers, a tenth less than half for clients'.
 
--- a/sandhatch/service/limits.py
+++ b/sandhatch/service/limits.py
@@ -44,7 +44,6 @@
 def apply_limits(shared: SharedResources, checked: CheckedConfiguration) -> None:
     """Set the limits of a version that becomes active, but never shorten the retention of request ids."""
     shared.share_descriptors(connection_descriptors(checked))
-    shared.memory_budget.set_limit(checked.model.limits.memory_mb)
+    shared.limit_memory(checked.model.limits.memory_mb)
     retained_ids = shared.in_flight_ids.retained
-    retained_ids.set_memory_limit(checked.model.limits.memory_mb)
     retained_ids.retention_ms = max(retained_ids.retention_ms, id_retention_ms(checked))
--- a/tests/platform/harness.py
+++ b/tests/platform/harness.py
@@ -145,13 +145,17 @@
 
 @asynccontextmanager
 async def running_program(
-    directory: Path, upstream: FakeServer, descriptors: int | None = None, sockets: int = 256
+    directory: Path,
+    upstream: FakeServer,
+    descriptors: int | None = None,
+    sockets: int = 256,
+    memory: float = 192,
 ) -> AsyncIterator[tuple[asyncio.subprocess.Process, int]]:
     """Runs the program in front of one server; yields its process and port once it is ready."""
     discovery = await FakeDiscovery([upstream.entry("a")]).start()
     port = free_port()
     data = config_data([upstream.entry("a")], discovery.port, listen=f"127.0.0.1:{port}")
-    data["limits"]["sockets"] = sockets
+    data["limits"] |= {"sockets": sockets, "memory_mb": memory}
     try:
         async with started(directory / "config.json", data, descriptors) as process:
             await ready(port)
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -33,6 +33,7 @@
     use_up_descriptors,
     write_config,
 )
+from tests.process_memory import memory_mb, peak_under_slow_clients_mb
 
 
 async def check_served(port: int) -> None:
@@ -296,3 +297,34 @@
         assert output == b"[]\n"
 
     run(scenario())
+
+
+def test_slow_clients_do_not_bring_the_process_over_its_memory_limit(tmp_path: Path) -> None:
+    """Guards against a process that is killed for memory: a quarter of the limit was given to buffers even if
+    the program itself left less.
+    """
+    spare_mb = 8.0
+
+    async def scenario() -> None:
+        upstream = await FakeServer().start()
+        async with running_program(tmp_path, upstream) as (process, _):
+            limit_mb = memory_mb(process.pid, "VmRSS") + spare_mb
+        async with running_program(tmp_path, upstream, sockets=1024, memory=limit_mb) as (process, port):
+            assert await peak_under_slow_clients_mb(process.pid, port, "look") <= limit_mb
+        upstream.close()
+
+    run(scenario())
+
+
+def test_memory_limit_below_what_the_program_occupies_is_logged_and_requests_are_served(
+    tmp_path: Path,
+) -> None:
+    async def scenario() -> None:
+        upstream = await FakeServer().start()
+        async with running_program(tmp_path, upstream, memory=16) as (process, port):
+            if memory_mb(process.pid, "VmRSS") >= 17.0:  # a smaller program fits into the smallest limit
+                assert b"limits.memory_mb: expected more than" in await next_log_line(process)
+            await check_served(port)
+        upstream.close()
+
+    run(scenario())
--- a/tests/streaming/test_flow.py
+++ b/tests/streaming/test_flow.py
@@ -359,3 +359,12 @@
     assert memory_budget.reserve(KIB * 100, lambda: granted.append(1)) is not None
     memory_budget.set_limit(new_limit_mb)
     assert granted == ([1] if new_limit_mb > 1 else [])
+
+
+@pytest.mark.parametrize(
+    ("program_mb", "expected_mb"), [(0.0, 16.0), (32.0, 16.0), (44.0, 10.0), (63.0, 1.0), (70.0, 1.0)]
+)
+def test_budget_is_at_most_half_of_what_the_program_leaves(program_mb: float, expected_mb: float) -> None:
+    memory_budget = MemoryBudget(64.0)
+    memory_budget.set_limit(64.0, program_mb)
+    assert memory_budget.limit_bytes == expected_mb * 1024 * KIB
