--- a/sandhatch/runtime/process.py
+++ b/sandhatch/runtime/process.py
@@ -15,8 +15,6 @@
 
 # Sizes in pages; the second one is the resident set, see proc(5).
 MEMORY_STATISTICS = Path("/proc/self/statm")
-    "/proc/self/statm"
-)  # sizes in pages; the second one is the resident set, see proc(5)
 
 # Net allocations before a collection of the youngest generation, its collections before one of the second
 # generation, and those of the second before one of the oldest. These thresholds are well above Python's
