--- a/sandhatch/balancing/endpoint_freshness.py
+++ b/sandhatch/balancing/endpoint_freshness.py
@@ -1,9 +1,9 @@
 """Freshness of the endpoint list: a bound on its age, and the requests to discovery that keep it fresh.
 
 `Freshness` decides when to send a request, of which kind, how long discovery may hold it, and when to abandon
-it. It does no I/O and reads no clock. Sources: the protocol's limits for lists (6 s until an instance is
-taken to know of a change, 200 ms from a response to the next request, 4 s after a change of address), and the
-settings.
+it; `discovery_pacing` draws the delays. Neither does I/O or reads a clock. Sources: the protocol's limits for
+lists (6 s until an instance is taken to know of a change, 200 ms from a response to the next request, 4 s
+after a change of address), and the settings.
 
 A single bound limits the list's age. A list is fresh as of its last complete response. The next complete
 response is due `notified_ms` later: from then on this instance is taken to know of every change that
@@ -44,12 +44,12 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
 from enum import Enum
 from random import Random
 from typing import Protocol
 
 from sandhatch.balancing.actions import Action, SetTimer, WatchList
+from sandhatch.balancing.discovery_pacing import DiscoveryPacing
 from sandhatch.balancing.events import NO_VERSION, ListKind, ListUpdate, ServerState
 from sandhatch.balancing.settings import Settings
 
@@ -104,84 +104,31 @@
     RENEW_WATCH = "renew watch"
 
 
-@dataclass(slots=True, frozen=True)
-class Pacing:
-    """Pacing of requests. Pauses are drawn uniformly between half of the stated value and the full value.
-
-    Attributes:
-        spread_ms: Width of the spread per instance that may send a request at the same time.
-        pause_ms: Time between the starts of consecutive failing requests until the list is due.
-        overdue_pause_ms: Time between the starts of consecutive failing requests once the list is overdue.
-        overdue_margin_ms: Time after the list is due until which a request is sent early enough for its
-            response to arrive within the drain grace period.
-    """
-
-    spread_ms: float
-    pause_ms: float
-    overdue_pause_ms: float
-    overdue_margin_ms: float
-
-
-# Width of the spread of first polls, per instance of each tier: twice the assumed service time of a request
-# at discovery. No setting states that time.
-SPREAD_MS = 500.0
-
-
-def _pacing(settings: Settings, notified_ms: float) -> Pacing:
-    if not settings.polled_discovery:
-        # Pushed lists come from the instance's own agent. As soon as the agent is back, the instance is taken
-        # to know of the agent's changes, received or not. No other instance queues at the agent, and a pause
-        # must fit into the shortest grace period.
-        return Pacing(0.0, 100.0, 500.0, 0.0)
-    # Once the list is overdue, each instance sends about one request per bound, so that a discovery service
-    # that can serve all instances within the bound is not saturated by rejections. The pause must leave time
-    # for a response within the grace period once discovery is back.
-    grace_ms = min(settings.drain_grace_ms, notified_ms)  # `drain_grace_ms` may be arbitrarily large
-    overdue_margin_ms = grace_ms / 2.0
-    return Pacing(SPREAD_MS, 2.0 * (notified_ms / 3.0), notified_ms + overdue_margin_ms, overdue_margin_ms)
-
-
 class Freshness:
     """Keeps the endpoint list of one instance fresh. Each public method returns actions to carry out.
 
-    All instances share discovery's capacity, and a rejected request costs it as much as one that it serves.
-    The pacing prevents instances from sending requests in step at their start or after a failure, requests
-    from leaving discovery's queue and joining it again, and rejected requests from being retried so fast that
-    no instance is served.
-
     Attributes:
         notified_ms: The bound on the list's age.
         state: State of the requests to discovery.
     """
 
-    # Longest random delay of a poll, as a fraction of the time until a list is due. The rest of that time is
-    # kept for a second poll, since discovery may reject the first one.
-    SPREAD_FRACTION = 0.6
-    # Earliest time of a second poll, as a fraction of the time in which it has to be sent: a discovery that
-    # is busy enough to reject a poll is likely to reject one that follows at once.
-    RETRY_FRACTION = 0.25
     # Time beyond a renewal's wait for its response to arrive. Renewals don't queue at discovery, but an
     # instance on a fraction of a core may read late.
     RESPONSE_MARGIN_MS = 500.0
     NEXT_REQUEST_MS = 25.0  # pause after discovery's response: too short to end the watch, but no busy loop
-    SUSPICION_MS = (
-        2_000.0  # mean delay of a check, about the time that a change takes to arrive with the list
-    )
+    # Mean delay of a check, about the time that a change takes to arrive with the list.
+    SUSPICION_MS = 2_000.0
 
     def __init__(self, settings: Settings, rng: Random) -> None:
         """Start without a list; the first list event starts the requests."""
         self._rng = rng
-        # Estimated number of instances that call discovery; tiers may differ in size.
-        self._fleet_size = settings.instances * settings.tiers
         self._half_tick_ms = settings.tick_ms / 2.0
         self._poll_interval_ms = settings.poll_interval_ms
         self._has_one_shot_watches = settings.one_shot_watches
         self._is_polled = settings.polled_discovery
         self.notified_ms = list_age_bound_ms(settings)
-        self._pacing = _pacing(settings, self.notified_ms)
+        self._pacing = DiscoveryPacing(settings, self.notified_ms, rng)
         self._max_wait_ms = self.notified_ms / 3.0
-        # Polls of all instances within a shorter time would exceed discovery's capacity.
-        self._min_spread_ms = self.notified_ms / 3.0
         # A request that is abandoned loses its place in discovery's queue, so it may take half of the bound
         # on the list's age.
         self._response_timeout_ms = self.notified_ms / 2.0 + self.RESPONSE_MARGIN_MS
@@ -194,10 +141,6 @@
         self._relocated_due_ms = -math.inf  # time at which the list at discovery's present address is due
         self._scheduled_ms = math.inf  # time at which the scheduled request to discovery is sent
         self._sent_ms = 0.0  # time at which the last request to discovery was sent
-        # Number of failures since the last list. The retry after the first failure gets a random delay, so
-        # that instances whose watches break together don't poll together. The first poll after a start
-        # already has such a delay, and its failure counts as the second.
-        self._failure_count = 1 if self._is_polled else 0
         self._knows_only_cached = False  # only the cached list is known, and discovery was not asked yet
         self._suspect: Suspect | None = None  # server that is listed as ready, but rejects requests
         # Pause, before jitter, after the last poll caused by a suspect (listed server that rejects requests);
@@ -260,7 +203,8 @@
         self._due_ms = now_ms + self.notified_ms
         self._knows_only_cached = True
         precedence = 3.0 if update.version == NO_VERSION else 1.0
-        return self._schedule(self._first_kind(), self._spread_ms(now_ms) / precedence, now_ms)
+        delay_ms = self._pacing.spread_ms(now_ms, self._due_ms) / precedence
+        return self._schedule(self._first_kind(), delay_ms, now_ms)
 
     def _on_discovery_address_changed(self, now_ms: float) -> list[Action]:
         """Start again at the new address, where earlier requests and versions are unknown."""
@@ -268,7 +212,7 @@
         self._relocated_due_ms = now_ms + RELOCATED_MS
         self._due_ms = min(self._due_ms, self._relocated_due_ms)
         self._reset_failures()
-        return self._schedule(RequestKind.COMPLETE_LIST, self._spread_ms(now_ms), now_ms)
+        return self._schedule(RequestKind.COMPLETE_LIST, self._pacing.spread_ms(now_ms, self._due_ms), now_ms)
 
     def _on_response(self, update: ListUpdate, now_ms: float) -> list[Action]:
         self._version = update.version
@@ -294,7 +238,8 @@
         # the new address can be.
         self._due_ms = max(self._due_ms, self._relocated_due_ms)
         self._version = update.version
-        return self._schedule(self._first_kind(), self._retry_delay_ms(now_ms), now_ms)
+        delay_ms = self._pacing.retry_delay_ms(now_ms, self._sent_ms, self._due_ms)
+        return self._schedule(self._first_kind(), delay_ms, now_ms)
 
     def _confirm_suspicion(self, now_ms: float) -> list[Action]:
         """Poll discovery if the rejecting server is still listed as ready and has served nothing since."""
@@ -318,7 +263,7 @@
         return self.state is State.IN_FLIGHT and update.call == self._request_number
 
     def _reset_failures(self) -> None:
-        self._failure_count = 0
+        self._pacing.reset()
         self._suspicion_pause_ms = 0.0
 
     # ------------------------------------------------ requests
@@ -329,42 +274,6 @@
             return RequestKind.COMPLETE_LIST
         return RequestKind.OPEN_WATCH
 
-    def _spread_ms(self, now_ms: float) -> float:
-        """Return the random delay of a poll that other instances may send at the same time.
-
-        The delay leaves time for a second poll, unless the list is due so soon that discovery could not
-        respond to all instances before.
-        """
-        left_ms = max(0.0, self._due_ms - now_ms)
-        useful_ms = max(0.0, self._last_useful_ms() - now_ms)
-        window_ms = min(useful_ms, max(self._min_spread_ms, self.SPREAD_FRACTION * left_ms))
-        return self._rng.random() * min(self._pacing.spread_ms * self._fleet_size, window_ms)
-
-    def _last_useful_ms(self) -> float:
-        """Return the last time at which a request gets its response before the list is too old to use."""
-        return self._due_ms + self._pacing.overdue_margin_ms
-
-    def _retry_delay_ms(self, now_ms: float) -> float:
-        """Return the delay from a failure to the next request.
-
-        The first failure after a list is a watch that broke or fell silent: all changes since then are
-        unknown, and the retry is spread. Later failures are paced from the start of one request to the start
-        of the next: the time that a request was in flight counts towards the pause. The pause after the
-        second failure ends while a request is still useful; later pauses don't, since shorter ones would
-        keep a busy discovery busy.
-        """
-        self._failure_count += 1
-        if self._failure_count == 1:
-            return self._spread_ms(now_ms)
-        is_due = now_ms >= self._due_ms
-        max_pause_ms = self._pacing.overdue_pause_ms if is_due else self._pacing.pause_ms
-        earliest_ms = max(now_ms, self._sent_ms + 0.5 * max_pause_ms)
-        latest_ms = max(now_ms, self._sent_ms + max_pause_ms)
-        if self._failure_count == 2 and not is_due:
-            latest_ms = min(latest_ms, self._last_useful_ms())
-            earliest_ms = min(earliest_ms, now_ms + self.RETRY_FRACTION * (latest_ms - now_ms))
-        return self._rng.uniform(earliest_ms, latest_ms) - now_ms
-
     def _schedule(self, kind: RequestKind, delay_ms: float, now_ms: float) -> list[Action]:
         self.state = State.SCHEDULED
         self._kind = kind
--- a/tests/balancing/endpoint_freshness/simulated_fleet.py
+++ b/tests/balancing/endpoint_freshness/simulated_fleet.py
@@ -30,7 +30,7 @@
     in_flight: WatchList | None = None
     responded_ms: float = float("-inf")
     connected: bool = False  # whether the connection of the instance's watch is still open
-    refusals: int = 0  # number of next queuing requests that discovery refuses at once
+    rejections_left: int = 0  # number of next queuing requests that discovery rejects at once
 
 
 @dataclass
@@ -136,10 +136,10 @@
                     lambda instance=instance, request=instance.in_flight: self._fail(instance, request),  # type: ignore[misc]
                 )
 
-    def refuse_next_requests(self) -> None:
-        """Refuse the next queuing request of each instance at once; a refusal costs discovery nothing."""
+    def reject_next_requests(self) -> None:
+        """Reject the next queuing request of each instance at once, at no cost to discovery."""
         for instance in self.instances:
-            instance.refusals = 1
+            instance.rejections_left = 1
 
     def occupy(self, duration_ms: float) -> None:
         """Occupy discovery for `duration_ms` with requests of other clients."""
@@ -202,8 +202,8 @@
             self.after(0.1, lambda: self._fail(instance, request))
         elif self.is_silent:
             return
-        elif not continues and instance.refusals:
-            instance.refusals -= 1
+        elif not continues and instance.rejections_left:
+            instance.rejections_left -= 1
             self.after(0.1, lambda: self._fail(instance, request))
         elif not continues:
             self._queue(instance, request)
--- a/tests/balancing/endpoint_freshness/test_bound.py
+++ b/tests/balancing/endpoint_freshness/test_bound.py
@@ -77,26 +77,26 @@
     fleet.at(at_ms + 4_000.0 * fraction, fleet.relocate)
 
 
-def falls_silent_and_refuses_next_requests(fleet: Fleet, at_ms: float, fraction: float) -> None:
-    """All watches fall silent, and discovery refuses the first request of each instance after that.
+def falls_silent_and_rejects_next_requests(fleet: Fleet, at_ms: float, fraction: float) -> None:
+    """All watches fall silent, and discovery rejects the first request of each instance after that.
 
     Guards against requests to a draining server for seconds after the grace period: the pause after the
-    refused request ended up to 9.7 s after the silence began.
+    rejected request ended up to 9.7 s after the silence began.
     """
     falls_silent(fleet, at_ms, fraction)
-    fleet.at(at_ms, fleet.refuse_next_requests)
+    fleet.at(at_ms, fleet.reject_next_requests)
 
 
-def resets_and_refuses_next_requests(fleet: Fleet, at_ms: float, fraction: float) -> None:
-    """All watches break, and discovery refuses the first request of each instance after that."""
+def resets_and_rejects_next_requests(fleet: Fleet, at_ms: float, fraction: float) -> None:
+    """All watches break, and discovery rejects the first request of each instance after that."""
     resets(fleet, at_ms, fraction)
-    fleet.at(at_ms, fleet.refuse_next_requests)
+    fleet.at(at_ms, fleet.reject_next_requests)
 
 
-def relocates_and_refuses_next_requests(fleet: Fleet, at_ms: float, fraction: float) -> None:
-    """Discovery has a new address and refuses the first request of each instance there."""
+def relocates_and_rejects_next_requests(fleet: Fleet, at_ms: float, fraction: float) -> None:
+    """Discovery has a new address and rejects the first request of each instance there."""
     relocates(fleet, at_ms, fraction)
-    fleet.at(at_ms, fleet.refuse_next_requests)
+    fleet.at(at_ms, fleet.reject_next_requests)
 
 
 def occupied_by_other_clients(fleet: Fleet, at_ms: float, _fraction: float) -> None:
@@ -124,9 +124,9 @@
     goes_down_and_back,
     relocates,
     relocates_while_down,
-    falls_silent_and_refuses_next_requests,
-    resets_and_refuses_next_requests,
-    relocates_and_refuses_next_requests,
+    falls_silent_and_rejects_next_requests,
+    resets_and_rejects_next_requests,
+    relocates_and_rejects_next_requests,
 ]
 
 
