--- a/tests/downstream/test_duplicate_ids.py
+++ b/tests/downstream/test_duplicate_ids.py
@@ -81,7 +81,7 @@
     run(scenario())
 
 
-def test_rejected_request_may_come_again_with_its_id() -> None:
+def test_rejected_request_may_be_retried_with_its_id() -> None:
     """A rejection promises that a retry is harmless, also for a client that doesn't change the id."""
 
     async def scenario() -> None:
--- a/tests/runtime/test_in_flight_ids.py
+++ b/tests/runtime/test_in_flight_ids.py
@@ -71,7 +71,7 @@
     assert not len(ids.retained)
 
 
-def test_full_set_forgets_nothing_and_has_space_again_after_the_retention_time() -> None:
+def test_full_set_forgets_nothing_and_accepts_ids_after_the_retention_time() -> None:
     retained = RetainedIds(RETENTION_MS, memory_mb=0.001)
     assert retained.max_count == RetainedIds.MIN_COUNT
     for number in range(retained.max_count):
