Memory of a process is read, and divided for requests, in one place each

The program's reader of its resident memory had a twin in the benchmarks, which call the program's now. The tests' reader of a process's peak had one in the tests of large lists. The rule that what the program leaves of a limit bounds buffers and request ids stood in both classes; ids get half of what buffers get, by one function.

No assertion changed.

--- a/benchmarks/commits.py
+++ b/benchmarks/commits.py
@@ -19,9 +19,9 @@
 from itertools import pairwise
 from typing import Any
 
-from benchmarks.processes import resident_bytes
 from benchmarks.services import record_activation_times, silence_log
 from sandhatch.config.version import State
+from sandhatch.runtime.process import resident_bytes
 from testkit.load_generator import LoadGenerator
 from tests.service.harness import FakeServers, RunningService, serving
 from tests.service.version_churn import (
--- a/benchmarks/long_bodies_memory.py
+++ b/benchmarks/long_bodies_memory.py
@@ -12,8 +12,8 @@
 from time import perf_counter
 from typing import Any
 
-from benchmarks.processes import resident_bytes
 from sandhatch.control.client import Client
+from sandhatch.runtime.process import resident_bytes
 
 MIB = 1024 * 1024
 SAMPLE_S = 0.5
--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -78,9 +78,3 @@
     """Returns the processor time that a process has used, in seconds."""
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
-def resident_bytes(pid: int | str = "self") -> int:
-    """Returns a process's resident memory in bytes."""
-    fields = Path(f"/proc/{pid}/statm").read_text(encoding="ascii").split()
-    return int(fields[1]) * os.sysconf("SC_PAGE_SIZE")
--- a/benchmarks/start.py
+++ b/benchmarks/start.py
@@ -22,7 +22,7 @@
 from pathlib import Path
 
 from benchmarks.checkouts import ROOT, package_of
-from benchmarks.processes import resident_bytes
+from sandhatch.runtime.process import resident_bytes
 from testkit.platform import config_data, entry
 from testkit.ports import free_port
 
--- a/sandhatch/balancing/discovery_pacing.py
+++ b/sandhatch/balancing/discovery_pacing.py
@@ -110,7 +110,7 @@
             now_ms: Present time.
             due_ms: Time at which a list is due.
         """
-        left_ms = max(0.0, due_ms - now_ms)
+        left_ms = due_ms - now_ms
         useful_ms = max(0.0, self._last_useful_ms(due_ms) - now_ms)
         window_ms = min(useful_ms, max(self._min_spread_ms, self.SPREAD_FRACTION * left_ms))
         return self._rng.random() * min(self._pauses.spread_ms * self._fleet_size, window_ms)
--- a/sandhatch/runtime/memory_budget.py
+++ b/sandhatch/runtime/memory_budget.py
@@ -9,6 +9,22 @@
 
 BYTES_PER_MB = 1024 * 1024
 
+# Part of a process's memory limit that buffers may use; the rest is for the program, its tables and system
+# reserves.
+MEMORY_LIMIT_FRACTION = 0.25
+# Part of the memory beside the program that buffers may use; the rest is for connections and tables.
+FREE_MEMORY_FRACTION = 0.5
+
+
+def buffer_memory_mb(memory_mb: float, program_mb: float) -> float:
+    """Returns the memory for buffers in MiB; not above 0 if the program alone exceeds the process's limit.
+
+    Args:
+        memory_mb: Memory limit of the process.
+        program_mb: Memory that the program occupies without any request.
+    """
+    return min(MEMORY_LIMIT_FRACTION * memory_mb, FREE_MEMORY_FRACTION * (memory_mb - program_mb))
+
 
 class MemoryBudget:
     """Limits the bytes that all connections together may buffer.
@@ -21,11 +37,6 @@
         limit_bytes: Maximum number of bytes that may be reserved.
     """
 
-    # Part of the process's memory limit that buffers may use; the rest is for the program, its tables and
-    # system reserves.
-    MEMORY_LIMIT_FRACTION = 0.25
-    # Part of the memory beside the program that buffers may use; the rest is for connections and tables.
-    FREE_MEMORY_FRACTION = 0.5
     MIN_LIMIT_MB = 1.0  # some requests fit even if the program alone exceeds the process's limit
 
     def __init__(self, memory_mb: float) -> None:
@@ -44,9 +55,8 @@
             memory_mb: Memory limit of the process.
             program_mb: Memory that the program occupies without any request.
         """
-        limit_mb = self.MEMORY_LIMIT_FRACTION * memory_mb
-        free_mb = self.FREE_MEMORY_FRACTION * (memory_mb - program_mb)
-        self.limit_bytes = int(BYTES_PER_MB * min(limit_mb, max(self.MIN_LIMIT_MB, free_mb)))
+        min_mb = min(self.MIN_LIMIT_MB, MEMORY_LIMIT_FRACTION * memory_mb)
+        self.limit_bytes = int(BYTES_PER_MB * max(min_mb, buffer_memory_mb(memory_mb, program_mb)))
         self._grant_waiters()
 
     @property
--- a/sandhatch/runtime/process.py
+++ b/sandhatch/runtime/process.py
@@ -13,9 +13,6 @@
 
 from sandhatch.runtime.memory_budget import BYTES_PER_MB
 
-# Sizes in pages; the second one is the resident set, see proc(5).
-MEMORY_STATISTICS = Path("/proc/self/statm")
-
 # Net allocations before a collection of the youngest generation, its collections before one of the second
 # generation, and those of the second before one of the oldest. These thresholds are well above Python's
 # defaults, because objects created after the start are short-lived and form few cycles.
@@ -35,13 +32,22 @@
     return wanted if soft_limit == resource.RLIM_INFINITY else min(wanted, soft_limit)
 
 
+def resident_bytes(process_id: int | str = "self") -> int:
+    """Returns a process's resident memory in bytes, see proc(5).
+
+    Raises:
+        OSError: The system doesn't tell, or there is no such process.
+    """
+    fields = Path(f"/proc/{process_id}/statm").read_text(encoding="ascii").split()
+    return int(fields[1]) * resource.getpagesize()
+
+
 def resident_mb() -> float:
-    """Returns the memory that the process occupies, in MiB; 0 where the system doesn't tell."""
+    """Returns the memory that this process occupies, in MiB; 0 where the system doesn't tell."""
     try:
-        resident_pages = int(MEMORY_STATISTICS.read_text().split()[1])
+        return resident_bytes() / BYTES_PER_MB
     except (OSError, IndexError, ValueError):
         return 0.0
-    return resident_pages * resource.getpagesize() / BYTES_PER_MB
 
 
 def shutdown_event(loop: asyncio.AbstractEventLoop) -> asyncio.Event:
--- a/sandhatch/runtime/retained_ids.py
+++ b/sandhatch/runtime/retained_ids.py
@@ -13,7 +13,7 @@
 from collections import deque
 from dataclasses import dataclass
 
-from sandhatch.runtime.memory_budget import BYTES_PER_MB
+from sandhatch.runtime.memory_budget import BYTES_PER_MB, buffer_memory_mb
 
 HASH_TYPE = "q"  # type code of a signed 64-bit integer, the result of `hash`
 
@@ -43,8 +43,7 @@
     """
 
     GENERATIONS = 4  # a generation spans this part of the retention time, and holds this part of all ids
-    MEMORY_LIMIT_FRACTION = 0.125  # part of the process's memory limit that the ids may occupy
-    FREE_MEMORY_FRACTION = 0.25  # part of the memory beside the program that the ids may occupy
+    BUFFER_MEMORY_FRACTION = 0.5  # memory that the ids may occupy, as a part of that for buffers
     BYTES_PER_ID = 40  # mean over the newest generation, a set, and the older ones
     MIN_COUNT = 1024
 
@@ -65,8 +64,7 @@
             memory_mb: Memory limit of the process.
             program_mb: Memory that the program occupies without any request.
         """
-        free_mb = memory_mb - program_mb
-        limit_mb = min(self.MEMORY_LIMIT_FRACTION * memory_mb, self.FREE_MEMORY_FRACTION * free_mb)
+        limit_mb = self.BUFFER_MEMORY_FRACTION * buffer_memory_mb(memory_mb, program_mb)
         self.max_count = max(self.MIN_COUNT, int(limit_mb * BYTES_PER_MB / self.BYTES_PER_ID))
 
     def __len__(self) -> int:
--- a/tests/discovery/test_large_lists.py
+++ b/tests/discovery/test_large_lists.py
@@ -27,6 +27,7 @@
 from tests.event_loop import run
 from tests.fakes import fake_servers, request_ok, running
 from tests.platform.harness import ready, spawn
+from tests.process_memory import memory_mb
 
 SERVER_COUNT = 1_500
 MAX_MEMORY_MB = 64
@@ -96,13 +97,6 @@
     return path
 
 
-def peak_memory_mb(process_id: int) -> float:
-    """Peak resident memory of the process so far, in MiB."""
-    status = Path(f"/proc/{process_id}/status").read_text()
-    peak = next(line for line in status.splitlines() if line.startswith("VmHWM"))
-    return int(peak.split()[1]) / 1024
-
-
 async def wait_for_watch(discovery: FakeDiscovery) -> None:
     """Wait for the balancer's watch call that follows the receipt of the complete list."""
     async with asyncio.timeout(RESPONSE_TIMEOUT_S):
@@ -124,7 +118,7 @@
             async with HttpClient(port) as client:
                 await request_ok(client)
             assert len(server.requests) == 1
-            assert peak_memory_mb(process.pid) <= MAX_MEMORY_MB
+            assert memory_mb(process.pid, "VmHWM") <= MAX_MEMORY_MB
         finally:
             process.kill()
             await process.wait()
--- a/tests/platform/harness.py
+++ b/tests/platform/harness.py
@@ -145,17 +145,20 @@
 
 @asynccontextmanager
 async def running_program(
-    directory: Path,
-    upstream: FakeServer,
-    descriptors: int | None = None,
-    sockets: int = 256,
-    memory: float = 192,
+    directory: Path, upstream: FakeServer, descriptors: int | None = None, **limits: float
 ) -> AsyncIterator[tuple[asyncio.subprocess.Process, int]]:
-    """Runs the program in front of one server; yields its process and port once it is ready."""
+    """Runs the program in front of one server; yields its process and port once it is ready.
+
+    Args:
+        directory: Directory for the configuration file.
+        upstream: The server.
+        descriptors: Limit of open descriptors; None for the limit of the test process.
+        limits: Keys of the configuration's `limits` to replace.
+    """
     discovery = await FakeDiscovery([upstream.entry("a")]).start()
     port = free_port()
     data = config_data([upstream.entry("a")], discovery.port, listen=f"127.0.0.1:{port}")
-    data["limits"] |= {"sockets": sockets, "memory_mb": memory}
+    data["limits"] |= limits
     try:
         async with started(directory / "config.json", data, descriptors) as process:
             await ready(port)
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -33,7 +33,7 @@
     use_up_descriptors,
     write_config,
 )
-from tests.process_memory import memory_mb, peak_under_slow_clients_mb
+from tests.process_memory import SPARE_MB, memory_mb, peak_under_slow_clients_mb
 
 
 async def check_served(port: int) -> None:
@@ -303,14 +303,13 @@
     """Guards against a process that is killed for memory: a quarter of the limit was given to buffers even if
     the program itself left less.
     """
-    spare_mb = 8.0
 
     async def scenario() -> None:
         upstream = await FakeServer().start()
         async with running_program(tmp_path, upstream) as (process, _):
-            limit_mb = memory_mb(process.pid, "VmRSS") + spare_mb
-        async with running_program(tmp_path, upstream, sockets=1024, memory=limit_mb) as (process, port):
-            assert await peak_under_slow_clients_mb(process.pid, port, "look") <= limit_mb
+            limit_mb = memory_mb(process.pid, "VmRSS") + SPARE_MB
+        async with running_program(tmp_path, upstream, sockets=1024, memory_mb=limit_mb) as (process, port):
+            assert await peak_under_slow_clients_mb(process.pid, port) <= limit_mb
         upstream.close()
 
     run(scenario())
@@ -321,7 +320,7 @@
 ) -> None:
     async def scenario() -> None:
         upstream = await FakeServer().start()
-        async with running_program(tmp_path, upstream, memory=16) as (process, port):
+        async with running_program(tmp_path, upstream, memory_mb=16) as (process, port):
             if memory_mb(process.pid, "VmRSS") >= 17.0:  # a smaller program fits into the smallest limit
                 assert b"limits.memory_mb: expected more than" in await next_log_line(process)
             await check_served(port)
--- a/tests/process_memory.py
+++ b/tests/process_memory.py
@@ -10,6 +10,7 @@
 
 KIB_PER_MB = 1024
 BODY_BYTES = 64 * 1024
+SPARE_MB = 8.0  # memory limit of a process under slow clients, over what the program occupies
 SLOW_CLIENTS = 250  # their bodies together have 15 MiB
 SETTLED_SAMPLES = 500  # equal samples of a value that is read every millisecond, after which it has settled
 
@@ -23,9 +24,9 @@
     raise AssertionError(f"process {process_id} has no {key}")
 
 
-async def peak_under_slow_clients_mb(process_id: int, port: int, class_name: str) -> float:
+async def peak_under_slow_clients_mb(process_id: int, port: int) -> float:
     """Return the peak memory in MiB when hundreds of clients stop in the middle of large requests."""
-    unfinished = request_bytes(class_name, b"x" * BODY_BYTES)[:-1]
+    unfinished = request_bytes(body=b"x" * BODY_BYTES)[:-1]
     async with AsyncExitStack() as connections:
         for _ in range(SLOW_CLIENTS):
             client = await connections.enter_async_context(HttpClient(port))
--- a/tests/runtime/test_in_flight_ids.py
+++ b/tests/runtime/test_in_flight_ids.py
@@ -91,4 +91,4 @@
         retained.add(b"%0128d" % number, span_ms * number / retained.max_count)
     _, peak_bytes = tracemalloc.get_traced_memory()
     tracemalloc.stop()
-    assert peak_bytes <= memory_mb * BYTES_PER_MB * RetainedIds.MEMORY_LIMIT_FRACTION
+    assert peak_bytes <= memory_mb * BYTES_PER_MB / 8
--- a/tests/service/test_serve_process.py
+++ b/tests/service/test_serve_process.py
@@ -20,7 +20,7 @@
 from testkit.load_generator import LoadGenerator
 from testkit.ports import free_port
 from testkit.wire import RESPONSE_TIMEOUT_S
-from tests.process_memory import memory_mb, peak_under_slow_clients_mb
+from tests.process_memory import SPARE_MB, memory_mb, peak_under_slow_clients_mb
 from tests.service.harness import FakeServers, run
 
 ROOT = Path(__file__).parent.parent.parent
@@ -215,17 +215,16 @@
     """Guards against a process that is killed for memory: a quarter of the limit was given to buffers even if
     the program itself left less.
     """
-    spare_mb = 8.0
 
     async def scenario() -> None:
         async with serve_process(tmp_path) as (program, _, first):
             await program.start()
             assert program.process is not None
-            limit_mb = memory_mb(program.process.pid, "VmRSS") + spare_mb
+            limit_mb = memory_mb(program.process.pid, "VmRSS") + SPARE_MB
             await program.kill()
             program.state = tmp_path / "state-with-limit"
             program.file.write_text(json.dumps(first | {"limits": {"memory_mb": limit_mb, "sockets": 1024}}))
             await program.start()
-            assert await peak_under_slow_clients_mb(program.process.pid, program.port, "look") <= limit_mb
+            assert await peak_under_slow_clients_mb(program.process.pid, program.port) <= limit_mb
 
     run(scenario())
